--- /dev/null
+++ b/cmd/ospreyslip/main.go
@@ -0,0 +1,81 @@
+// Command ospreyslip runs one controller of a cluster scheduler.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"ospreyslip/internal/node"
+	"ospreyslip/internal/settings"
+)
+
+const version = "0.1.0"
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := root().ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "ospreyslip:", err)
+		os.Exit(1)
+	}
+}
+
+func root() *cobra.Command {
+	var config string
+	load := func() (*settings.Settings, error) {
+		if config == "" {
+			return nil, fmt.Errorf("--config FILE is missing")
+		}
+		return settings.Load(config)
+	}
+	cmd := &cobra.Command{
+		Use:           "ospreyslip --config FILE",
+		Short:         "Schedule jobs on machines rented from a cloud",
+		Version:       version,
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := logTo(os.Getenv("LOG_LEVEL")); err != nil {
+				return err
+			}
+			set, err := load()
+			if err != nil {
+				return err
+			}
+			return node.New(set).Run(cmd.Context())
+		},
+	}
+	cmd.PersistentFlags().StringVar(&config, "config", "", "settings file (TOML)")
+	cmd.AddCommand(&cobra.Command{
+		Use:   "check",
+		Short: "Check the settings and print what is derived from them",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			set, err := load()
+			if err != nil {
+				return err
+			}
+			return set.Derive().Print(cmd.OutOrStdout())
+		},
+	})
+	return cmd
+}
+
+func logTo(level string) error {
+	levels := map[string]slog.Level{
+		"": slog.LevelInfo, "error": slog.LevelError, "info": slog.LevelInfo, "debug": slog.LevelDebug,
+	}
+	l, ok := levels[level]
+	if !ok {
+		return fmt.Errorf("LOG_LEVEL must be error, info or debug, is %q", level)
+	}
+	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: l})))
+	return nil
+}
--- /dev/null
+++ b/internal/control/fleet.go
@@ -0,0 +1,260 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"ospreyslip/internal/fleet"
+	"ospreyslip/internal/jobs"
+	"ospreyslip/internal/placement"
+)
+
+// Ratios of the fleet's decisions.
+const (
+	idleBoots  = 1.0 // an idle machine is kept for as long as a new one takes to boot
+	lateBoots  = 4.0 // a machine that has not come up after so many boot times is given up
+	slowBoots  = 2.0 // after so many, another one is rented beside it
+	batchShare = 0.5 // part of the time a batch job has left that its tasks may queue up for
+)
+
+// listing keeps asking the cloud what there is.
+func (l *Leader) listing(ctx context.Context) {
+	for ctx.Err() == nil {
+		all, err := l.Cloud.List(ctx)
+		if err != nil {
+			slog.Debug("machines not listed", "term", l.token, "reason", err)
+		} else {
+			l.post(ctx, func(now time.Time) { l.listed(ctx, all, now) })
+		}
+		l.pause(ctx, l.Derived.ListEvery)
+	}
+}
+
+// listed compares the cloud's list with our books. The list lags, so that a
+// machine missing from it proves nothing, nor does one that is still there.
+func (l *Leader) listed(ctx context.Context, all []fleet.Listed, now time.Time) {
+	var failed []*machine
+	for _, e := range all {
+		m := l.machines[e.ID]
+		if m == nil {
+			if until, ok := l.gone[e.ID]; ok && now.Before(until) {
+				continue
+			}
+			m = newMachine(e.ID, now.Add(-time.Duration(e.AgeS*float64(time.Second))))
+			m.idleSince = now
+			m.typ, m.zone, m.spot = e.Type, e.Zone, e.Spot
+			l.machines[e.ID] = m
+			slog.Info("machine found in the list", "machine", m.id, "term", l.token, "state", e.State)
+		}
+		m.listed = true
+		if m.addr == "" {
+			m.addr = e.Addr
+		}
+		if e.State == fleet.Failed && m.phase != returning {
+			slog.Info("machine failed", "machine", m.id, "term", l.token, "reason", "cloud says so")
+			failed = append(failed, m)
+		}
+	}
+	l.release(ctx, now, failed...)
+	for id, until := range l.gone {
+		if now.After(until) {
+			delete(l.gone, id)
+		}
+	}
+	l.replan = true
+}
+
+func (l *Leader) booted(m *machine, now time.Time) {
+	m.phase = up
+	m.idleSince = now
+	took := now.Sub(m.known)
+	slog.Info("machine up", "machine", m.id, "type", m.typ, "zone", m.zone, "spot", m.spot, "term", l.token, "bootS", took.Seconds())
+	l.replan = true
+}
+
+// bootTime is how long a machine type usually takes to come up.
+func (l *Leader) bootTime(typ string) time.Duration {
+	if t := l.machineType(typ); t != nil && t.BootS > 0 {
+		return time.Duration(t.BootS * float64(time.Second))
+	}
+	return l.Derived.Lease
+}
+
+func times(d time.Duration, ratio float64) time.Duration {
+	return time.Duration(float64(d) * ratio)
+}
+
+// manageFleet returns what is not needed and rents what is.
+func (l *Leader) manageFleet(ctx context.Context, now time.Time) {
+	if now.Sub(l.fleetAt) < l.Derived.Report/4 || l.Catalog() == nil {
+		return
+	}
+	l.fleetAt = now
+	var back []*machine
+	for _, m := range l.machines {
+		boot := l.bootTime(m.typ)
+		switch {
+		case m.phase == returning:
+		case m.phase == booting && now.Sub(m.known) > times(boot, lateBoots):
+			slog.Info("machine never came up", "machine", m.id, "term", l.token)
+			back = append(back, m)
+		case m.phase == up && len(m.assigned) == 0 && (m.dead || m.draining || now.Sub(m.idleSince) > times(boot, idleBoots)):
+			if m.noticeUntil.IsZero() || now.After(m.noticeUntil.Add(l.Derived.ListLag)) || m.dead {
+				back = append(back, m)
+			}
+		}
+	}
+	slices.SortFunc(back, func(a, b *machine) int {
+		if a.id < b.id {
+			return -1
+		}
+		return 1
+	})
+	l.release(ctx, now, back...)
+	if now.Before(l.listSyncAt) && l.token > 1 {
+		return // an earlier leader's rentals may not be listed yet
+	}
+	l.rent(ctx, now)
+}
+
+func (l *Leader) rent(ctx context.Context, now time.Time) {
+	have := map[fleet.Kind]int{}
+	var coming []fleet.Coming
+	add := func(k fleet.Kind) {
+		if t := l.machineType(k.Type); t != nil {
+			coming = append(coming, fleet.Coming{Kind: k, Free: placement.Amount{CPUs: t.CPUs, GPUs: t.GPUs, RAMGB: t.RAMGB}})
+		}
+	}
+	for _, m := range l.machines {
+		k := fleet.Kind{Type: m.typ, Zone: m.zone, Spot: m.spot}
+		if m.phase != returning {
+			have[k]++
+		}
+		if m.phase == booting && now.Sub(m.known) < times(l.bootTime(m.typ), slowBoots) {
+			add(k)
+		}
+	}
+	for k, n := range l.renting {
+		have[k] += n
+		for range n {
+			add(k)
+		}
+	}
+	var needs []fleet.Need
+	for _, d := range l.unmet {
+		n := d.Count
+		if s := d.Job.Spec; s.Shape == jobs.Batch && s.EstimateS > 0 {
+			n = max(1, int(math.Ceil(float64(n)*s.EstimateS/max(s.EstimateS, batchShare*l.timeLeft(d.Job)))))
+		}
+		needs = append(needs, fleet.Need{Spec: d.Job.Spec, Zones: d.Job.Zones, Count: n})
+	}
+	plan := fleet.Plan(needs, coming, fleet.Market{
+		Types:   l.Catalog(),
+		Have:    have,
+		Refused: func(k fleet.Kind) bool { return now.Before(l.refused[k].until) },
+	})
+	for _, k := range fleet.Sorted(plan) {
+		l.charters++
+		r := fleet.Rental{Name: fmt.Sprintf("r-%d-%d", l.term.Token, l.charters), Kind: k, Count: min(plan[k], fleet.MaxRent)}
+		l.renting[k] += r.Count
+		go l.charter(ctx, r)
+	}
+}
+
+// timeLeft is how many seconds a batch job has for its objective.
+func (l *Leader) timeLeft(j *placement.Job) float64 {
+	if j.DueS < noDeadline {
+		return j.DueS
+	}
+	left := j.Spec.EstimateS
+	for _, o := range l.Settings.Deployment.Objectives {
+		if o.Kind == "finished" && o.Class == j.Spec.Class {
+			left = max(left, o.WithinS)
+		}
+	}
+	return left
+}
+
+// charter rents until the outcome is known: after anything but an answer the
+// same request, which the cloud carries out once only, goes out again.
+func (l *Leader) charter(ctx context.Context, r fleet.Rental) {
+	ids, err := backoff.Retry(ctx, func() ([]string, error) {
+		ids, err := l.Cloud.Rent(ctx, r)
+		if errors.Is(err, fleet.ErrNoCapacity) {
+			return nil, backoff.Permanent(err)
+		}
+		return ids, err
+	}, backoff.WithBackOff(l.backOff()), backoff.WithMaxElapsedTime(0))
+	l.post(ctx, func(now time.Time) {
+		l.renting[r.Kind] -= r.Count
+		if err != nil || len(ids) < r.Count {
+			ref := l.refused[r.Kind]
+			ref.wait = min(max(2*ref.wait, 2*l.Derived.Report), 4*l.Derived.ListLag)
+			ref.until = now.Add(ref.wait)
+			l.refused[r.Kind] = ref
+		} else {
+			delete(l.refused, r.Kind)
+		}
+		slog.Info("machines rented", "type", r.Type, "zone", r.Zone, "spot", r.Spot, "asked", r.Count, "got", len(ids), "term", l.token)
+		for _, id := range ids {
+			if l.machines[id] == nil {
+				m := newMachine(id, now)
+				m.typ, m.zone, m.spot = r.Type, r.Zone, r.Spot
+				l.machines[id] = m
+			}
+		}
+	})
+}
+
+func (l *Leader) backOff() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = l.Derived.Report / 2
+	b.MaxInterval = 2 * l.Derived.Report
+	return b
+}
+
+// release gives machines back. When the cloud has answered, all that was on
+// them is gone, whatever state they were in.
+func (l *Leader) release(ctx context.Context, now time.Time, ms ...*machine) {
+	var ids []string
+	for _, m := range ms {
+		if m.phase == returning {
+			continue
+		}
+		m.phase = returning
+		ids = append(ids, m.id)
+	}
+	for chunk := range slices.Chunk(ids, fleet.MaxRelease) {
+		slog.Info("machines going back", "machines", chunk, "term", l.token)
+		go func() {
+			_, err := backoff.Retry(ctx, func() (struct{}, error) { return struct{}{}, l.Cloud.Release(ctx, chunk) },
+				backoff.WithBackOff(l.backOff()), backoff.WithMaxElapsedTime(0))
+			if err != nil {
+				return // the term is over
+			}
+			l.post(ctx, func(now time.Time) { l.released(chunk, now) })
+		}()
+	}
+}
+
+func (l *Leader) released(ids []string, now time.Time) {
+	for _, id := range ids {
+		m := l.machines[id]
+		if m == nil {
+			continue
+		}
+		l.lost(m, "machine given back")
+		l.watch.Forget(id)
+		delete(l.machines, id)
+		// Reports, too, may arrive long after their machine is gone.
+		l.gone[id] = now.Add(4 * l.Derived.Cancel)
+	}
+	l.replan = true
+}
--- /dev/null
+++ b/internal/control/leader.go
@@ -0,0 +1,424 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"ospreyslip/internal/fleet"
+	"ospreyslip/internal/jobs"
+	"ospreyslip/internal/liveness"
+	"ospreyslip/internal/placement"
+	"ospreyslip/internal/settings"
+	"ospreyslip/internal/state"
+	"ospreyslip/internal/term"
+	"ospreyslip/internal/workers"
+)
+
+// Deps is what a leader works with.
+type Deps struct {
+	Settings *settings.Settings
+	Derived  settings.Derived
+	Store    *state.Client
+	Cloud    *fleet.Cloud
+	Workers  *workers.Client
+	Valid    func() bool // holds the term at this moment
+	Catalog  func() []jobs.MachineType
+	Counts   *Counts
+}
+
+// Counts hands the leader's display counts to the users' side.
+type Counts struct {
+	mu sync.RWMutex
+	m  map[string]jobs.Counts
+}
+
+// NewCounts makes an empty table.
+func NewCounts() *Counts { return &Counts{m: map[string]jobs.Counts{}} }
+
+// Get returns a job's counts.
+func (c *Counts) Get(id string) (jobs.Counts, bool) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	v, ok := c.m[id]
+	return v, ok
+}
+
+func (c *Counts) set(id string, v jobs.Counts) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.m[id] = v
+}
+
+func (c *Counts) drop(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.m, id)
+}
+
+func (c *Counts) clear() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	clear(c.m)
+}
+
+// Gate leads reports to the leader that is on duty, if there is one.
+type Gate struct{ on atomic.Pointer[Leader] }
+
+// Report hands a report over and returns the answer; nil means that this node
+// has no right, or no time, to answer.
+func (g *Gate) Report(ctx context.Context, r *workers.Report) *workers.Answer {
+	l := g.on.Load()
+	if l == nil {
+		return nil
+	}
+	req := reportIn{r, make(chan *workers.Answer, 1)}
+	select {
+	case l.reports <- req:
+	case <-l.quit:
+		return nil
+	case <-ctx.Done():
+		return nil
+	}
+	select {
+	case a := <-req.reply:
+		return a
+	case <-l.quit:
+		return nil
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+type reportIn struct {
+	report *workers.Report
+	reply  chan *workers.Answer
+}
+
+// Leader is one term's work.
+type Leader struct {
+	Deps
+	term  term.Term
+	token uint64 // raised within the term to end doubts
+
+	reports chan reportIn
+	events  chan func(now time.Time) // outcomes of I/O, applied by the one goroutine
+	quit    chan struct{}
+
+	jobs     map[string]*job
+	machines map[string]*machine
+	watch    *liveness.Watch
+	used     map[string]placement.Amount
+	attempts uint64
+	fresh    time.Time // the picture of the jobs is no older
+
+	writing   bool
+	tokenMark uint64
+	raise     bool
+	finals    []*job
+	chunks    []chunkRef
+	dirty     []*machine
+
+	replan     bool
+	plannedAt  time.Time
+	unmet      []placement.Demand
+	fleetAt    time.Time
+	charters   int
+	renting    map[fleet.Kind]int
+	refused    map[fleet.Kind]refusal
+	listSyncAt time.Time
+	gone       map[string]time.Time // given back, though perhaps still listed
+}
+
+type refusal struct {
+	until time.Time
+	wait  time.Duration
+}
+
+type chunkRef struct {
+	j *job
+	c int
+}
+
+// Lead does one term's work until the context ends.
+func (g *Gate) Lead(ctx context.Context, d Deps, t term.Term) {
+	l := &Leader{
+		Deps: d, term: t, token: t.Token, tokenMark: t.TokenMark,
+		reports: make(chan reportIn, 16), events: make(chan func(time.Time), 64), quit: make(chan struct{}),
+		jobs: map[string]*job{}, machines: map[string]*machine{}, used: map[string]placement.Amount{},
+		renting: map[fleet.Kind]int{}, refused: map[fleet.Kind]refusal{}, gone: map[string]time.Time{},
+		attempts: t.Token << 24,
+		watch: liveness.New(liveness.Config{
+			SilentFor: d.Derived.SilentFor, LeaseOver: d.Derived.LeaseOver,
+			HoldGrace: d.Derived.HoldGrace, Gap: d.Derived.VerdictGap,
+		}),
+	}
+	ctx, stop := context.WithCancel(ctx)
+	var duties sync.WaitGroup
+	defer func() {
+		g.on.CompareAndSwap(l, nil)
+		stop()
+		close(l.quit)
+		duties.Wait()
+		d.Counts.clear()
+	}()
+	after, err := l.load(ctx)
+	if err != nil {
+		slog.Info("records not read, resigning", "term", t.Token, "reason", err)
+		return
+	}
+	duties.Go(func() { l.follow(ctx, after) })
+	duties.Go(func() { l.listing(ctx) })
+	g.on.Store(l)
+	l.run(ctx)
+}
+
+// post hands an outcome to the leader's goroutine.
+func (l *Leader) post(ctx context.Context, f func(now time.Time)) {
+	select {
+	case l.events <- f:
+	case <-ctx.Done():
+	}
+}
+
+func (l *Leader) run(ctx context.Context) {
+	tick := time.NewTicker(l.Derived.Report / 8)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-l.events:
+			f(time.Now())
+		case in := <-l.reports:
+			in.reply <- l.report(in.report, time.Now())
+		case <-tick.C:
+			l.tick(ctx, time.Now())
+		}
+		// Take in what else has come before deciding once for all of it.
+		for more := true; more; {
+			select {
+			case f := <-l.events:
+				f(time.Now())
+			case in := <-l.reports:
+				in.reply <- l.report(in.report, time.Now())
+			default:
+				more = false
+			}
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		now := time.Now()
+		if l.replan && now.Sub(l.plannedAt) >= l.Derived.Report/32 {
+			l.place(now)
+		}
+		l.flush(ctx)
+		l.orders(ctx, now)
+	}
+}
+
+// load reads all records. The term is ours already, so that no earlier leader
+// can change them any more; users can, and the watch starts where load began.
+func (l *Leader) load(ctx context.Context) (after uint64, err error) {
+	now := time.Now()
+	l.fresh = now
+	records, after, err := l.Store.List(ctx, jobs.RecordPrefix)
+	if err != nil {
+		return 0, err
+	}
+	ended := map[string]state.Pair{}
+	for _, p := range records {
+		var rec jobs.Record
+		if err := json.Unmarshal(p.Value, &rec); err != nil {
+			slog.Error("job record unreadable", "key", p.Key, "reason", err)
+			continue
+		}
+		id := jobs.IDOf(p.Key)
+		if rec.Over() || rec.Spec == nil {
+			ended[id] = p
+			continue
+		}
+		l.jobs[id] = newJob(id, rec.Spec, p.Mark, rec.AtMs)
+	}
+	chunks, _, err := l.Store.List(ctx, jobs.ChunkPrefix)
+	if err != nil {
+		return 0, err
+	}
+	for _, p := range chunks {
+		id, num, _ := strings.Cut(strings.TrimPrefix(p.Key, jobs.ChunkPrefix), "/")
+		c, err := strconv.Atoi(num)
+		j := l.jobs[id]
+		if j == nil || err != nil {
+			continue
+		}
+		if err := j.loadChunk(c, l.Derived.ChunkTasks, p.Value); err != nil {
+			slog.Error("completions unreadable", "key", p.Key, "reason", err)
+			continue
+		}
+		j.chunks[c] = &chunk{mark: p.Mark, saved: true}
+	}
+	machines, _, err := l.Store.List(ctx, machinePrefix)
+	if err != nil {
+		return 0, err
+	}
+	for _, p := range machines {
+		var rec machineRecord
+		if err := json.Unmarshal(p.Value, &rec); err != nil {
+			slog.Error("machine record unreadable", "key", p.Key, "reason", err)
+			continue
+		}
+		l.restore(strings.TrimPrefix(p.Key, machinePrefix), rec, p.Mark, ended, now)
+	}
+	for _, j := range l.jobs {
+		if !j.over() && j.spec.Shape == jobs.Batch && j.doneCount == j.spec.Tasks {
+			l.finish(j)
+		}
+		l.show(j)
+	}
+	l.replan = true
+	l.listSyncAt = now.Add(2 * l.Derived.ListLag)
+	slog.Info("records read", "term", l.token, "jobs", len(l.jobs), "ended", len(ended), "machines", len(l.machines))
+	return after, nil
+}
+
+// restore takes in a machine's record. Whatever it names may be there: the
+// tasks count until a report under our token, or the end of the lease, shows
+// otherwise. No earlier leader answered a report later than the term began.
+func (l *Leader) restore(id string, rec machineRecord, mark uint64, ended map[string]state.Pair, now time.Time) {
+	m := newMachine(id, now)
+	m.addr, m.typ, m.zone, m.spot, m.mark = rec.Addr, rec.Type, rec.Zone, rec.Spot, mark
+	m.session, m.phase, m.leaseUntil = rec.Session, up, now.Add(l.Derived.LeaseOver)
+	l.machines[id] = m
+	l.watch.Restore(id, m.zone, now)
+	for _, t := range rec.Tasks {
+		j := l.jobs[t.Job]
+		if j == nil {
+			var old jobs.Record
+			if p, ok := ended[t.Job]; ok {
+				_ = json.Unmarshal(p.Value, &old)
+			}
+			if old.Spec == nil {
+				// Done: what is left of it on the machine ends by itself.
+				old.Spec = &jobs.Spec{ID: t.Job, Tasks: t.N + 1, Shape: jobs.Batch}
+			}
+			j = newJob(t.Job, old.Spec, ended[t.Job].Mark, 0)
+			j.cancelled = true
+			l.jobs[t.Job] = j
+		}
+		if t.N >= j.spec.Tasks {
+			continue
+		}
+		a := &assignment{
+			job: j, n: t.N, attempt: t.Attempt, session: rec.Session, m: m,
+			durable: true, doubt: l.token - 1, since: now, seen: "",
+		}
+		l.count(a)
+		m.assigned[a.attempt] = a
+		j.tasks[a.n] = a
+		if j.isDone(a.n) {
+			l.over(a, success)
+		}
+	}
+}
+
+// follow watches the jobs.
+func (l *Leader) follow(ctx context.Context, after uint64) {
+	for ctx.Err() == nil {
+		sent := time.Now()
+		rev, changes, err := l.Store.Watch(ctx, jobs.RecordPrefix, after, l.Derived.WatchWait)
+		if err == state.ErrCompacted {
+			var pairs []state.Pair
+			if pairs, rev, err = l.Store.List(ctx, jobs.RecordPrefix); err == nil {
+				for _, p := range pairs {
+					changes = append(changes, state.Change{Set: p.Key, Value: p.Value, Mark: p.Mark})
+				}
+			}
+		}
+		if err != nil {
+			slog.Debug("watch failed", "term", l.token, "reason", err)
+			select {
+			case <-ctx.Done():
+			case <-time.After(l.Derived.TermRenew):
+			}
+			continue
+		}
+		after = max(after, rev)
+		l.post(ctx, func(now time.Time) {
+			l.fresh = sent
+			for _, c := range changes {
+				l.jobChanged(c)
+			}
+		})
+	}
+}
+
+func (l *Leader) jobChanged(c state.Change) {
+	if c.Set == "" {
+		return
+	}
+	var rec jobs.Record
+	if err := json.Unmarshal(c.Value, &rec); err != nil {
+		slog.Error("job record unreadable", "key", c.Set, "reason", err)
+		return
+	}
+	id := jobs.IDOf(c.Set)
+	j := l.jobs[id]
+	switch {
+	case j == nil && !rec.Over() && rec.Spec != nil:
+		j = newJob(id, rec.Spec, c.Mark, rec.AtMs)
+		l.jobs[id] = j
+		l.show(j)
+		l.replan = true
+	case j != nil && rec.Stance == jobs.Cancelled && !j.cancelled:
+		slog.Info("job cancelled", "job", id, "term", l.token)
+		j.cancelled, j.mark = true, c.Mark
+		l.cancelTasks(j)
+	}
+}
+
+func (l *Leader) cancelTasks(j *job) {
+	for _, a := range j.tasks {
+		l.dropUnsent(a)
+	}
+	l.replan = true
+	l.settled(j)
+}
+
+// settled forgets a job that is over and has no task anywhere.
+func (l *Leader) settled(j *job) {
+	if !j.over() || len(j.tasks) > 0 || l.jobs[j.id] != j {
+		return
+	}
+	if j.final && !j.cancelled && j.mark != 0 {
+		return // its record is still to be written
+	}
+	if j.cancelled {
+		for c, ch := range j.chunks {
+			if ch.mark != 0 {
+				l.chunks = append(l.chunks, chunkRef{j, c}) // to be removed
+			}
+		}
+	}
+	delete(l.jobs, j.id)
+	l.Counts.drop(j.id)
+}
+
+// show publishes a job's counts when they have changed.
+func (l *Leader) show(j *job) {
+	c := jobs.Counts{Done: j.doneCount}
+	for _, a := range j.tasks {
+		if a.seen == workers.Running && a.outcome == open {
+			c.Running++
+		}
+	}
+	if c != j.shown || c == (jobs.Counts{}) {
+		j.shown = c
+		l.Counts.set(j.id, c)
+	}
+}
--- /dev/null
+++ b/internal/control/orders.go
@@ -0,0 +1,176 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"time"
+
+	"ospreyslip/internal/liveness"
+	"ospreyslip/internal/workers"
+)
+
+func counter(r *workers.Report) liveness.Counter {
+	return liveness.Counter{Session: r.Session, Seq: r.Seq}
+}
+
+// orders tells workers at once what cannot wait for their next report.
+func (l *Leader) orders(ctx context.Context, now time.Time) {
+	for _, m := range l.machines {
+		if !m.poke || m.orderBusy || now.Before(m.orderAfter) {
+			continue
+		}
+		m.poke = false
+		if m.phase != up || m.session == 0 || m.addr == "" || !m.doubtSince.IsZero() || now.After(m.leaseUntil) || !l.Valid() {
+			continue
+		}
+		calls := l.calls(m, false)
+		if len(calls) == 0 && m.token >= l.token {
+			continue
+		}
+		m.orderBusy = true
+		l.watch.Called(m.id)
+		order := workers.Order{Token: l.token, Session: m.session, Calls: calls}
+		go func() {
+			r, ok, err := l.Workers.Order(ctx, m.addr, order)
+			l.post(ctx, func(now time.Time) { l.ordered(m, order, r, ok, err, now) })
+		}()
+	}
+}
+
+// ordered takes in the outcome of an order. If nobody knows whether it arrived,
+// its runs are in doubt: they may be executed at any later time while token and
+// session match. They are not sent again, nor is their task placed elsewhere,
+// until a report shows them or the worker has seen a higher token.
+func (l *Leader) ordered(m *machine, o workers.Order, r *workers.Report, ok bool, err error, now time.Time) {
+	m.orderBusy = false
+	neverSent := ok == false && err == nil
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		neverSent = true // a connection attempt that was given up does not complete later
+	}
+	for _, c := range o.Calls {
+		a := m.assigned[c.Attempt]
+		if c.Op != workers.OpRun || a == nil {
+			continue
+		}
+		a.ordered = false
+		switch {
+		case neverSent:
+			a.sent = a.seen != ""
+		case err != nil && a.seen == "":
+			a.doubt = o.Token
+			m.doubtSince = now
+		}
+	}
+	if err != nil {
+		slog.Debug("order failed", "machine", m.id, "term", l.token, "reason", err)
+		m.orderAfter = now.Add(l.Derived.Report)
+		m.poke = true
+		return
+	}
+	l.watch.Answered(m.id, counter(r))
+	l.observe(m, r, now)
+	for _, a := range m.assigned {
+		if a.job.over() && a.outcome == open {
+			l.dropUnsent(a)
+		}
+	}
+}
+
+// doubts asks for a higher token where orders have been in doubt for long.
+func (l *Leader) doubts(now time.Time) {
+	for _, m := range l.machines {
+		if m.doubtSince.IsZero() {
+			continue
+		}
+		inDoubt := false
+		for _, a := range m.assigned {
+			if a.outcome == open && a.doubt != 0 {
+				inDoubt = true
+				if a.doubt == l.token && now.Sub(m.doubtSince) > l.Derived.DoubtFor {
+					l.raise = true
+				}
+			}
+		}
+		if !inDoubt {
+			m.doubtSince = time.Time{}
+			m.poke = true
+		}
+	}
+}
+
+// expire ends what a worker's own lease has ended by now.
+func (l *Leader) expire(now time.Time) {
+	for _, m := range l.machines {
+		if m.phase == booting || now.Before(m.leaseUntil) {
+			continue
+		}
+		l.lost(m, "worker lease over")
+		// Whatever still comes from the old session is out of date.
+		if m.session != 0 {
+			m.session, m.seq, m.picture = m.session+1, 0, nil
+			m.doubtSince = time.Time{}
+		}
+		m.leaseUntil = now.Add(l.Derived.LeaseOver)
+		l.touch(m)
+	}
+}
+
+// lost ends all assignments of a machine on which nothing can run any more.
+func (l *Leader) lost(m *machine, reason string) {
+	for _, a := range m.assigned {
+		if a.outcome == open {
+			slog.Info("task lost", "task", a.name(), "machine", m.id, "term", l.token, "reason", reason)
+			l.over(a, retry)
+		}
+	}
+}
+
+func (l *Leader) tick(ctx context.Context, now time.Time) {
+	l.expire(now)
+	l.doubts(now)
+	calls, verdicts := l.watch.Tick(now)
+	for _, id := range calls {
+		m := l.machines[id]
+		if m == nil {
+			l.watch.Forget(id)
+			continue
+		}
+		go func() {
+			r, err := l.Workers.Inspect(ctx, m.addr)
+			l.post(ctx, func(now time.Time) { l.inspected(m, r, err, now) })
+		}()
+	}
+	for _, v := range verdicts {
+		l.judged(ctx, l.machines[v.Machine], v.Reason, now)
+	}
+	l.manageFleet(ctx, now)
+}
+
+func (l *Leader) inspected(m *machine, r *workers.Report, err error, now time.Time) {
+	if err != nil {
+		l.watch.CallDone(m.id, false, liveness.Counter{}, now)
+		return
+	}
+	// The answer is a newer picture of the tasks, though it renews no lease.
+	l.watch.CallDone(m.id, true, counter(r), now)
+	l.observe(m, r, now)
+}
+
+// judged carries out a verdict. A machine that did not answer is given back:
+// once the cloud has taken it, its tasks are certainly gone, which is sooner
+// than the end of a long lease. One that answers keeps its tasks meanwhile.
+func (l *Leader) judged(ctx context.Context, m *machine, reason liveness.Reason, now time.Time) {
+	if m == nil {
+		return
+	}
+	slog.Info("machine judged dead", "machine", m.id, "zone", m.zone, "term", l.token, "reason", string(reason), "tasks", len(m.assigned))
+	m.dead = true
+	l.touch(m)
+	l.replan = true
+	if reason == liveness.CallFailed {
+		l.release(ctx, now, m)
+	}
+}
--- /dev/null
+++ b/internal/control/place.go
@@ -0,0 +1,140 @@
+package control
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"ospreyslip/internal/jobs"
+	"ospreyslip/internal/placement"
+	"ospreyslip/internal/workers"
+)
+
+// planTasks bounds the tasks of one job that a plan looks at; the rest waits
+// for the next, when these are placed.
+const planTasks = 256
+
+// noDeadline sorts behind every deadline.
+const noDeadline = 1e12
+
+// place plans on the picture as it is and carries the plan out.
+func (l *Leader) place(now time.Time) {
+	l.replan, l.plannedAt = false, now
+	in := placement.Input{Teams: l.Settings.Deployment.Teams, Used: map[string]placement.Amount{}}
+	for team, a := range l.used {
+		in.Used[team] = a
+	}
+	plans := map[*job]*placement.Job{}
+	back := map[*placement.Job]*job{}
+	wall := time.Now().UnixMilli()
+	var all []*placement.Job
+	for _, j := range l.jobs {
+		if j.over() {
+			continue
+		}
+		p := &placement.Job{Spec: j.spec, Order: j.order, DueS: noDeadline, Zones: map[string]int{}}
+		if j.spec.DeadlineS != nil {
+			p.DueS = *j.spec.DeadlineS - float64(wall-j.atMs)/1000
+		}
+		for z, n := range j.zones {
+			p.Zones[z] = n
+		}
+		if now.Before(j.notBefore) {
+			l.replan = true
+		} else {
+			p.Pending = j.pending(planTasks)
+		}
+		plans[j], back[p] = p, j
+		all = append(all, p)
+	}
+	slices.SortFunc(all, func(a, b *placement.Job) int { return cmp.Compare(a.Order, b.Order) })
+	placement.Guarantees(in.Teams, all)
+	for _, p := range all {
+		if len(p.Pending) > 0 {
+			in.Jobs = append(in.Jobs, p)
+		}
+	}
+	ids := make([]string, 0, len(l.machines))
+	for id := range l.machines {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	placed := map[*placement.Placed]*assignment{}
+	for _, id := range ids {
+		if m := l.machines[id]; l.usable(m, now) {
+			in.Machines = append(in.Machines, l.offer(m, plans, placed, now))
+		}
+	}
+	out := placement.Plan(in)
+	for _, s := range out.Stop {
+		a := placed[s.Task]
+		l.stop(a, a.job.spec.SaveS)
+	}
+	for _, as := range out.Assign {
+		l.assign(back[as.Job], as.N, l.machines[as.Machine.ID], now)
+	}
+	l.unmet = out.Unmet
+}
+
+// usable tells whether work may go to a machine.
+func (l *Leader) usable(m *machine, now time.Time) bool {
+	return m.phase == up && !m.dead && !m.draining && m.session != 0 && m.token <= l.token && l.watch.Placeable(m.id, now)
+}
+
+func (l *Leader) offer(m *machine, plans map[*job]*placement.Job, placed map[*placement.Placed]*assignment, now time.Time) *placement.Machine {
+	p := &placement.Machine{
+		ID: m.id, Type: m.typ, Zone: m.zone, Spot: m.spot, Images: map[string]bool{}, Avoid: map[string]bool{},
+	}
+	if t := l.machineType(m.typ); t != nil {
+		p.Total = placement.Amount{CPUs: t.CPUs, GPUs: t.GPUs, RAMGB: t.RAMGB}
+	}
+	p.Free = p.Total.Plus(m.room, -1)
+	for image := range m.images {
+		p.Images[image] = true
+	}
+	for id, until := range m.avoid {
+		if now.Before(until) {
+			p.Avoid[id] = true
+			l.replan = true
+		} else {
+			delete(m.avoid, id)
+		}
+	}
+	for _, a := range m.assigned {
+		switch {
+		case a.outcome != open:
+		case a.stop || a.job.over():
+			p.Freeing = p.Freeing.Plus(placement.Of(a.job.spec), 1)
+		case a.durable && plans[a.job] != nil:
+			v := &placement.Placed{Job: plans[a.job], N: a.n}
+			if a.seen == workers.Running {
+				v.RanS = now.Sub(a.since).Seconds()
+			}
+			placed[v] = a
+			p.Tasks = append(p.Tasks, v)
+		}
+	}
+	slices.SortFunc(p.Tasks, func(a, b *placement.Placed) int {
+		return cmp.Compare(placed[a].attempt, placed[b].attempt)
+	})
+	return p
+}
+
+func (l *Leader) machineType(name string) *jobs.MachineType {
+	types := l.Catalog()
+	i := slices.IndexFunc(types, func(t jobs.MachineType) bool { return t.Name == name })
+	if i < 0 {
+		return nil
+	}
+	return &types[i]
+}
+
+func (l *Leader) assign(j *job, n int, m *machine, now time.Time) {
+	l.attempts++
+	a := &assignment{job: j, n: n, attempt: l.attempts, session: m.session, m: m, since: now}
+	l.count(a)
+	m.assigned[a.attempt] = a
+	j.tasks[n] = a
+	j.taken(n)
+	l.touch(m)
+}
--- /dev/null
+++ b/internal/control/tasks.go
@@ -0,0 +1,288 @@
+package control
+
+import (
+	"log/slog"
+	"time"
+
+	"ospreyslip/internal/jobs"
+	"ospreyslip/internal/placement"
+	"ospreyslip/internal/workers"
+)
+
+// count makes an assignment weigh in room, quota and zones.
+func (l *Leader) count(a *assignment) {
+	need := placement.Of(a.job.spec)
+	a.inRoom = true
+	a.m.room = a.m.room.Plus(need, 1)
+	l.used[a.job.spec.Team] = l.used[a.job.spec.Team].Plus(need, 1)
+	a.job.zones[a.m.zone]++
+}
+
+// over ends an assignment whose task is certainly off its machine. It is
+// forgotten, and a task that is not done pending again, once the record
+// without it is durable: until then a new leader would still find it there.
+func (l *Leader) over(a *assignment, o outcome) {
+	if a.outcome != open {
+		return
+	}
+	j, m, need := a.job, a.m, placement.Of(a.job.spec)
+	a.outcome = o
+	if a.inRoom {
+		a.inRoom = false
+		m.room = m.room.Plus(need, -1)
+		l.used[j.spec.Team] = l.used[j.spec.Team].Plus(need, -1)
+		j.zones[m.zone]--
+	}
+	if o == success && !j.over() && j.setDone(a.n) {
+		if j.doneCount == j.spec.Tasks {
+			l.finish(j)
+		} else {
+			l.chunkDirty(j, a.n/l.Derived.ChunkTasks)
+		}
+	}
+	l.touch(m)
+	l.show(j)
+	l.replan = true
+}
+
+// finish lets the job's record be written as done.
+func (l *Leader) finish(j *job) {
+	j.final = true
+	l.finals = append(l.finals, j)
+}
+
+func (l *Leader) chunkDirty(j *job, c int) {
+	ch := j.chunks[c]
+	if ch == nil {
+		ch = &chunk{}
+		j.chunks[c] = ch
+	}
+	ch.saved = false
+	if !ch.dirty {
+		ch.dirty = true
+		l.chunks = append(l.chunks, chunkRef{j, c})
+	}
+}
+
+// touch queues a machine's record for writing.
+func (l *Leader) touch(m *machine) {
+	if !m.dirty {
+		m.dirty = true
+		l.dirty = append(l.dirty, m)
+	}
+}
+
+// forget drops an assignment whose end is durable.
+func (l *Leader) forget(a *assignment) {
+	j, m := a.job, a.m
+	delete(m.assigned, a.attempt)
+	if len(m.assigned) == 0 {
+		m.idleSince = time.Now()
+	}
+	if j.tasks[a.n] == a {
+		delete(j.tasks, a.n)
+		if a.outcome == retry && !j.over() {
+			j.givenBack(a.n)
+		}
+	}
+	l.replan = true
+	l.settled(j)
+}
+
+// dropUnsent ends an assignment that no worker can have heard of.
+func (l *Leader) dropUnsent(a *assignment) {
+	if a.seen == "" && !a.sent && !a.ordered && a.doubt == 0 {
+		l.over(a, retry)
+		return
+	}
+	a.m.poke = true
+}
+
+// observe takes a worker's own picture of its machine. It returns false for an
+// old copy, which must not turn the picture back.
+func (l *Leader) observe(m *machine, r *workers.Report, now time.Time) bool {
+	if r.Session < m.session || r.Session == m.session && m.seq != 0 && r.Seq <= m.seq {
+		return false
+	}
+	if r.Session > m.session {
+		// The lease ran out in between: the worker killed all tasks it had.
+		for _, a := range m.assigned {
+			if a.session < r.Session {
+				l.over(a, retry)
+			}
+		}
+		m.doubtSince = time.Time{}
+	}
+	m.session, m.seq, m.token, m.picture = r.Session, r.Seq, r.Token, r.Tasks
+	m.addr, m.typ, m.zone, m.spot = r.Addr, r.Type, r.Zone, r.Spot
+	if r.NoticeS != nil {
+		l.notice(m, *r.NoticeS, now)
+	}
+	there := make(map[uint64]*workers.Task, len(r.Tasks))
+	for i := range r.Tasks {
+		there[r.Tasks[i].Attempt] = &r.Tasks[i]
+	}
+	for _, a := range m.assigned {
+		if a.outcome != open || a.session != r.Session {
+			continue
+		}
+		t := there[a.attempt]
+		if t == nil || t.Task != a.name() {
+			l.absent(a, r.Token)
+			continue
+		}
+		// One run is sent in one order only, so that one seen is one used up.
+		a.doubt, a.sent = 0, true
+		if a.seen != t.State {
+			a.seen = t.State
+			if t.State == workers.Running {
+				a.since = now
+				m.images[a.job.spec.Image] = now
+			}
+			l.show(a.job)
+		}
+		if t.State == workers.Ended {
+			l.ended(a, t, now)
+		}
+	}
+	return true
+}
+
+// absent judges an assignment that the newest picture does not show.
+func (l *Leader) absent(a *assignment, token uint64) {
+	if !a.durable || a.ordered || a.doubt != 0 && token <= a.doubt {
+		return // it may be on its way
+	}
+	a.doubt, a.sent, a.seen = 0, false, ""
+	if a.job.over() || a.stop {
+		l.over(a, retry)
+	}
+}
+
+func (l *Leader) ended(a *assignment, t *workers.Task, now time.Time) {
+	j, m := a.job, a.m
+	switch {
+	case t.Cause == workers.CauseDone && j.spec.Shape == jobs.Batch:
+		j.errors = 0
+		clear(m.failures)
+		l.over(a, success)
+		return
+	case t.Cause == workers.CauseStopped:
+	case t.Cause == workers.CauseError:
+		// Mostly the machine's fault. A job that fails on several machines in
+		// a row is its user's mistake: it goes on being tried, ever more rarely.
+		j.errors++
+		m.failures[j.id] = true
+		m.avoid[j.id] = now.Add(l.Derived.Lease)
+		if j.errors > 2 {
+			j.notBefore = now.Add(min(l.Derived.Report<<min(j.errors-2, 6), l.Derived.Cancel))
+		}
+		if len(m.failures) > 1 && !m.draining {
+			slog.Info("machine suspected", "machine", m.id, "term", l.token, "reason", "several jobs failed on it")
+			m.draining = true
+		}
+	default: // no_room, busy, unknown: refused, and worth another try soon
+		m.avoid[j.id] = now.Add(l.Derived.Report)
+		if t.Cause == workers.CauseUnknown {
+			j.notBefore = now.Add(l.Derived.Report)
+		}
+	}
+	slog.Debug("task ended", "task", a.name(), "machine", m.id, "term", l.token, "reason", t.Cause)
+	l.over(a, retry)
+}
+
+// notice prepares for the loss of a machine: what can save does so, and the
+// rest may still complete.
+func (l *Leader) notice(m *machine, inS float64, now time.Time) {
+	if m.noticeUntil.IsZero() {
+		slog.Info("machine will be taken", "machine", m.id, "term", l.token, "inS", inS)
+	}
+	m.draining = true
+	m.noticeUntil = now.Add(time.Duration(inS * float64(time.Second)))
+	for _, a := range m.assigned {
+		if s := a.job.spec; s.CheckpntS > 0 && s.SaveS < inS && !a.stop {
+			l.stop(a, s.SaveS)
+		}
+	}
+	l.replan = true
+}
+
+func (l *Leader) stop(a *assignment, grace float64) {
+	a.stop, a.grace = true, grace
+	l.dropUnsent(a)
+}
+
+// report answers a worker, or returns nil if this node has no right to.
+func (l *Leader) report(r *workers.Report, now time.Time) *workers.Answer {
+	if !l.Valid() || now.Sub(l.fresh) > l.Derived.WatchStale || r.Token > l.token {
+		return nil
+	}
+	m := l.machines[r.Machine]
+	if _, gone := l.gone[r.Machine]; m == nil && gone {
+		return nil
+	}
+	if m == nil {
+		m = newMachine(r.Machine, now)
+		m.typ, m.zone, m.spot, m.addr = r.Type, r.Zone, r.Spot, r.Addr
+		l.machines[r.Machine] = m
+	}
+	if r.Session < m.session {
+		return nil // from before a lease that has run out
+	}
+	if m.phase == booting {
+		l.booted(m, now)
+	}
+	l.watch.Heard(m.id, r.Zone, counter(r), now)
+	if m.dead && !l.watch.Judged(m.id) {
+		m.dead = false
+		slog.Info("machine reports again", "machine", m.id, "term", l.token)
+	}
+	if l.observe(m, r, now) {
+		l.replan = true
+	}
+	m.leaseUntil = now.Add(l.Derived.LeaseOver)
+	return &workers.Answer{Token: l.token, Calls: l.calls(m, true)}
+}
+
+// calls returns what the worker should do, from the difference between its
+// picture and ours. A clear goes out in answers only: there is one report in
+// flight, so that no run in an earlier answer can follow it.
+func (l *Leader) calls(m *machine, answer bool) []workers.Call {
+	calls := []workers.Call{}
+	if m.phase == returning {
+		return calls
+	}
+	for _, a := range m.assigned {
+		if a.outcome != open || !a.durable || a.session != m.session {
+			continue
+		}
+		switch {
+		case a.job.over() && a.seen != "":
+			calls = append(calls, stopCall(a.name(), a.attempt, 0))
+		case a.stop && a.seen != "":
+			if a.seen != workers.Saving {
+				calls = append(calls, stopCall(a.name(), a.attempt, a.grace))
+			}
+		case a.job.over() || a.stop:
+		case a.seen == "" && !a.sent && !a.ordered && a.doubt == 0:
+			a.sent, a.ordered = true, !answer
+			calls = append(calls, workers.Call{Op: workers.OpRun, Task: a.name(), Attempt: a.attempt})
+		}
+	}
+	for _, t := range m.picture {
+		if m.assigned[t.Attempt] != nil {
+			continue // its end is not durable yet
+		}
+		switch {
+		case t.State != workers.Ended:
+			calls = append(calls, stopCall(t.Task, t.Attempt, 0))
+		case answer:
+			calls = append(calls, workers.Call{Op: workers.OpClear, Task: t.Task, Attempt: t.Attempt})
+		}
+	}
+	return calls
+}
+
+func stopCall(task string, attempt uint64, grace float64) workers.Call {
+	return workers.Call{Op: workers.OpStop, Task: task, Attempt: attempt, GraceS: &grace}
+}
--- /dev/null
+++ b/internal/fleet/cloud.go
@@ -0,0 +1,183 @@
+// Package fleet rents machines and gives them back.
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"ospreyslip/internal/jobs"
+)
+
+// The cloud's limits for one request, from the protocol.
+const (
+	MaxRent    = 50
+	MaxRelease = 100
+	maxPage    = 500
+)
+
+// ErrNoCapacity means that none of these machines is to be had now.
+var ErrNoCapacity = errors.New("no capacity")
+
+// States of a machine in the cloud's list.
+const (
+	Booting = "booting"
+	Running = "running"
+	Failed  = "failed"
+)
+
+// Listed is a machine in the cloud's list.
+type Listed struct {
+	ID    string  `json:"id"`
+	Addr  string  `json:"addr"`
+	Type  string  `json:"perchKind"`
+	Zone  string  `json:"eyrie"`
+	Spot  bool    `json:"driftwood"`
+	State string  `json:"stance"`
+	AgeS  float64 `json:"ageS"`
+}
+
+// Kind is what can be rented.
+type Kind struct {
+	Type, Zone string
+	Spot       bool
+}
+
+// Rental asks for machines. Its name is never used for another.
+type Rental struct {
+	Name string
+	Kind
+	Count int
+}
+
+// Cloud is a client of the cloud.
+type Cloud struct {
+	base  string
+	http  *http.Client
+	wait  time.Duration
+	limit *rate.Limiter
+}
+
+// NewCloud makes a client that sends at most rps requests a second.
+func NewCloud(addr string, wait time.Duration, rps float64) *Cloud {
+	return &Cloud{
+		base:  "http://" + addr,
+		wait:  wait,
+		limit: rate.NewLimiter(rate.Limit(rps), max(1, int(rps))),
+		http: &http.Client{Transport: &http.Transport{
+			MaxIdleConnsPerHost: 4,
+			MaxConnsPerHost:     8,
+			IdleConnTimeout:     time.Minute,
+			DisableCompression:  true,
+		}},
+	}
+}
+
+func (c *Cloud) do(ctx context.Context, method, path string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.wait)
+	defer cancel()
+	if err := c.limit.Wait(ctx); err != nil {
+		return err
+	}
+	var body io.Reader
+	if in != nil {
+		raw, err := json.Marshal(in)
+		if err != nil {
+			return err
+		}
+		body = bytes.NewReader(raw)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
+	if err != nil {
+		return err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		var e struct {
+			Error string `json:"error"`
+		}
+		_ = json.Unmarshal(raw, &e)
+		if resp.StatusCode == http.StatusServiceUnavailable && e.Error == ErrNoCapacity.Error() {
+			return ErrNoCapacity
+		}
+		return fmt.Errorf("cloud: status %d %s", resp.StatusCode, e.Error)
+	}
+	if out == nil {
+		return nil
+	}
+	return json.Unmarshal(raw, out)
+}
+
+// Catalog returns the machine types with their current prices.
+func (c *Cloud) Catalog(ctx context.Context) ([]jobs.MachineType, error) {
+	var out struct {
+		Types []jobs.MachineType `json:"perches"`
+	}
+	if err := c.do(ctx, http.MethodGet, "/catalog", nil, &out); err != nil {
+		return nil, err
+	}
+	if len(out.Types) == 0 {
+		return nil, errors.New("cloud: empty catalog")
+	}
+	return out.Types, nil
+}
+
+// Rent rents machines and returns their names. After any error but
+// ErrNoCapacity the same rental must be sent again: it may have been carried out.
+func (c *Cloud) Rent(ctx context.Context, r Rental) ([]string, error) {
+	in := struct {
+		Name  string `json:"charter"`
+		Type  string `json:"perchKind"`
+		Zone  string `json:"eyrie"`
+		Spot  bool   `json:"driftwood"`
+		Count int    `json:"number"`
+	}{r.Name, r.Type, r.Zone, r.Spot, r.Count}
+	var out struct {
+		Machines []string `json:"hosts"`
+	}
+	err := c.do(ctx, http.MethodPost, "/rentals", in, &out)
+	return out.Machines, err
+}
+
+// Release gives machines back. Without an error they, and all that ran on
+// them, are gone.
+func (c *Cloud) Release(ctx context.Context, ids []string) error {
+	return c.do(ctx, http.MethodPost, "/rentals/release", map[string][]string{"hosts": ids}, nil)
+}
+
+// List returns the cloud's machines as they were some time ago.
+func (c *Cloud) List(ctx context.Context) ([]Listed, error) {
+	var all []Listed
+	after := ""
+	for {
+		var page struct {
+			Machines []Listed `json:"hosts"`
+			More     bool     `json:"hasNext"`
+		}
+		path := fmt.Sprintf("/rentals?after=%s&most=%d", url.QueryEscape(after), maxPage)
+		if err := c.do(ctx, http.MethodGet, path, nil, &page); err != nil {
+			return nil, err
+		}
+		all = append(all, page.Machines...)
+		if !page.More || len(page.Machines) == 0 {
+			return all, nil
+		}
+		after = page.Machines[len(page.Machines)-1].ID
+	}
+}
--- /dev/null
+++ b/internal/fleet/plan.go
@@ -0,0 +1,145 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+
+	"ospreyslip/internal/jobs"
+	"ospreyslip/internal/placement"
+)
+
+// Need is work without a machine.
+type Need struct {
+	Spec  *jobs.Spec
+	Zones map[string]int // the job's tasks by zone
+	Count int
+}
+
+// Coming is a machine that will take work once it is up.
+type Coming struct {
+	Kind
+	Free placement.Amount
+}
+
+// Market is what the planner may choose from.
+type Market struct {
+	Types   []jobs.MachineType
+	Have    map[Kind]int      // machines by kind, to spread them over zones
+	Refused func(k Kind) bool // no capacity a short while ago
+}
+
+// Plan returns what to rent: each need goes to the machines that are coming
+// first and, for the rest, to the kind that costs least for each of its tasks.
+func Plan(needs []Need, coming []Coming, mk Market) map[Kind]int {
+	rent := map[Kind]int{}
+	for _, n := range needs {
+		zones := map[string]int{}
+		for z, c := range n.Zones {
+			zones[z] = c
+		}
+		for left := n.Count; left > 0; left-- {
+			i := pick(n.Spec, zones, coming)
+			if i < 0 {
+				t, k, ok := cheapest(n.Spec, zones, left, rent, mk)
+				if !ok {
+					break
+				}
+				rent[k]++
+				coming = append(coming, Coming{k, placement.Amount{CPUs: t.CPUs, GPUs: t.GPUs, RAMGB: t.RAMGB}})
+				i = len(coming) - 1
+			}
+			coming[i].Free = coming[i].Free.Plus(placement.Of(n.Spec), -1)
+			zones[coming[i].Zone]++
+		}
+	}
+	return rent
+}
+
+func zoneOpen(s *jobs.Spec, zones map[string]int, zone string) bool {
+	if s.OneZone {
+		for z, n := range zones {
+			if n > 0 && z != zone {
+				return false
+			}
+		}
+	}
+	return zones[zone] < s.ZoneLimit()
+}
+
+func pick(s *jobs.Spec, zones map[string]int, coming []Coming) int {
+	best := -1
+	for i, m := range coming {
+		if s.Allows(m.Type, m.Zone, m.Spot) && m.Free.Fits(placement.Of(s)) && zoneOpen(s, zones, m.Zone) &&
+			(best < 0 || m.Free.CPUs < coming[best].Free.CPUs) {
+			best = i
+		}
+	}
+	return best
+}
+
+func cheapest(s *jobs.Spec, zones map[string]int, left int, rent map[Kind]int, mk Market) (jobs.MachineType, Kind, bool) {
+	type option struct {
+		t     jobs.MachineType
+		k     Kind
+		price float64
+		have  int
+	}
+	var best *option
+	for _, t := range mk.Types {
+		if !t.Fits(s) {
+			continue
+		}
+		for _, zone := range t.Zones {
+			for _, spot := range []bool{false, true} {
+				k := Kind{t.Name, zone, spot}
+				if !s.Allows(t.Name, zone, spot) || !zoneOpen(s, zones, zone) || mk.Refused(k) {
+					continue
+				}
+				price := t.Price
+				if spot {
+					price = t.SpotPrice
+				}
+				o := option{t, k, price / float64(min(left, fit(t, s))), mk.Have[k] + rent[k]}
+				if best == nil || cmp.Or(cmp.Compare(o.price, best.price), cmp.Compare(o.have, best.have)) < 0 {
+					best = &o
+				}
+			}
+		}
+	}
+	if best == nil {
+		return jobs.MachineType{}, Kind{}, false
+	}
+	return best.t, best.k, true
+}
+
+// fit is how many of a job's tasks an empty machine takes.
+func fit(t jobs.MachineType, s *jobs.Spec) int {
+	room, n := placement.Amount{CPUs: t.CPUs, GPUs: t.GPUs, RAMGB: t.RAMGB}, 0
+	for room.Fits(placement.Of(s)) && n < jobs.MaxTasks {
+		room = room.Plus(placement.Of(s), -1)
+		n++
+	}
+	return max(n, 1)
+}
+
+// Sorted returns the kinds in a fixed order.
+func Sorted(rent map[Kind]int) []Kind {
+	kinds := make([]Kind, 0, len(rent))
+	for k := range rent {
+		kinds = append(kinds, k)
+	}
+	slices.SortFunc(kinds, func(a, b Kind) int {
+		return cmp.Or(cmp.Compare(a.Type, b.Type), cmp.Compare(a.Zone, b.Zone), boolCmp(a.Spot, b.Spot))
+	})
+	return kinds
+}
+
+func boolCmp(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
--- /dev/null
+++ b/internal/jobs/api.go
@@ -0,0 +1,239 @@
+package jobs
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"log/slog"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"ospreyslip/internal/settings"
+	"ospreyslip/internal/state"
+)
+
+const maxBody = 64 << 10
+
+// API answers users.
+type API struct {
+	Settings *settings.Settings
+	Derived  settings.Derived
+	Store    *state.Client
+	// Catalog returns the machine types, or nil while they are not known.
+	Catalog func() []MachineType
+	// Counts returns a job's counts for display, where this node knows them.
+	Counts func(id string) (Counts, bool)
+
+	slots chan struct{}
+}
+
+// Register adds the users' paths. Every request takes a slot or is refused at
+// once: a queue in front of the state service would only make users ask twice.
+func (a *API) Register(mux *http.ServeMux) {
+	a.slots = make(chan struct{}, a.Derived.UserQueue)
+	mux.HandleFunc("POST /v1/jobs", a.limited(a.submit))
+	mux.HandleFunc("GET /v1/jobs/{id}", a.limited(a.show))
+	mux.HandleFunc("POST /v1/jobs/{id}/withdraw", a.limited(a.withdraw))
+	mux.HandleFunc("GET /up", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+}
+
+func (a *API) limited(next func(context.Context, http.ResponseWriter, *http.Request)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case a.slots <- struct{}{}:
+			defer func() { <-a.slots }()
+		default:
+			a.later(w, "too many requests at this node")
+			return
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), a.Derived.UserWait)
+		defer cancel()
+		next(ctx, w, r)
+	}
+}
+
+type view struct {
+	ID      string `json:"id"`
+	Stance  string `json:"stance"`
+	Done    *int   `json:"done,omitempty"`
+	Running *int   `json:"running,omitempty"`
+}
+
+func reply(w http.ResponseWriter, status int, body any) {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(raw)
+}
+
+func refuse(w http.ResponseWriter, status int, why string) {
+	reply(w, status, map[string]string{"error": why})
+}
+
+// later refuses at once and says when a try is worth while: after the time in
+// which the term or a busy state service may have settled.
+func (a *API) later(w http.ResponseWriter, why string) {
+	w.Header().Set("Retry-After", strconv.Itoa(max(1, int(math.Ceil(a.Derived.TermLease.Seconds()/2)))))
+	refuse(w, http.StatusServiceUnavailable, why)
+}
+
+func (a *API) read(ctx context.Context, id string) (*Record, uint64, error) {
+	p, found, err := a.Store.Get(ctx, RecordKey(id))
+	if err != nil || !found {
+		return nil, 0, err
+	}
+	var rec Record
+	if err := json.Unmarshal(p.Value, &rec); err != nil {
+		return nil, 0, err
+	}
+	return &rec, p.Mark, nil
+}
+
+func (a *API) stance(id string, rec *Record) string {
+	if !rec.Over() && a.Counts != nil {
+		if c, ok := a.Counts(id); ok && c.Running > 0 {
+			return Running
+		}
+	}
+	return rec.Stance
+}
+
+func (a *API) submit(ctx context.Context, w http.ResponseWriter, r *http.Request) {
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		refuse(w, http.StatusBadRequest, "body over 64 KiB")
+		return
+	case err != nil:
+		return // the user is gone
+	}
+	spec, err := ParseSpec(raw)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	types := a.Catalog()
+	if types == nil {
+		a.later(w, "machine types are not known yet")
+		return
+	}
+	if why := CanEverRun(spec, types, a.Settings); why != nil {
+		// A job accepted under an earlier catalog or team stays accepted.
+		rec, _, err := a.read(ctx, spec.ID)
+		switch {
+		case err != nil:
+			a.later(w, "state service does not answer")
+		case rec != nil:
+			reply(w, http.StatusOK, view{ID: spec.ID, Stance: a.stance(spec.ID, rec)})
+		default:
+			refuse(w, http.StatusUnprocessableEntity, why.Error())
+		}
+		return
+	}
+	rec := Record{Stance: Queued, Tasks: spec.Tasks, Spec: spec, AtMs: time.Now().UnixMilli()}
+	value, err := json.Marshal(rec)
+	if err != nil || len(value) > a.Derived.ValueBytes {
+		refuse(w, http.StatusBadRequest, "job too large")
+		return
+	}
+	a.retry(ctx, w, func() (bool, error) {
+		_, failed, err := a.Store.Commit(ctx, []state.Guard{{Key: RecordKey(spec.ID)}},
+			[]state.Write{{Set: RecordKey(spec.ID), Value: value}})
+		if err != nil {
+			return false, err
+		}
+		if len(failed) == 0 {
+			slog.Debug("job accepted", "job", spec.ID, "class", spec.Class, "tasks", spec.Tasks)
+			reply(w, http.StatusCreated, view{ID: spec.ID, Stance: Queued})
+			return true, nil
+		}
+		known, _, err := a.read(ctx, spec.ID)
+		if err != nil {
+			return false, err
+		}
+		if known == nil {
+			return false, nil
+		}
+		reply(w, http.StatusOK, view{ID: spec.ID, Stance: a.stance(spec.ID, known)})
+		return true, nil
+	})
+}
+
+// retry tries again while there is time: a write whose outcome is unknown
+// meets its own record on the next try, so that trying again reads it back.
+func (a *API) retry(ctx context.Context, w http.ResponseWriter, try func() (bool, error)) {
+	for {
+		answered, err := try()
+		if answered {
+			return
+		}
+		if errors.Is(err, state.ErrRefused) || ctx.Err() != nil {
+			a.later(w, "state service does not answer")
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(a.Derived.StateWait / 20):
+		}
+	}
+}
+
+func (a *API) show(ctx context.Context, w http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("id")
+	if !ValidID(id) {
+		refuse(w, http.StatusNotFound, "no such job")
+		return
+	}
+	rec, _, err := a.read(ctx, id)
+	switch {
+	case err != nil:
+		a.later(w, "state service does not answer")
+	case rec == nil:
+		refuse(w, http.StatusNotFound, "no such job")
+	default:
+		var c Counts
+		if rec.Stance == Done {
+			c.Done = rec.Tasks
+		} else if a.Counts != nil && !rec.Over() {
+			c, _ = a.Counts(id)
+		}
+		reply(w, http.StatusOK, view{ID: id, Stance: a.stance(id, rec), Done: &c.Done, Running: &c.Running})
+	}
+}
+
+func (a *API) withdraw(ctx context.Context, w http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("id")
+	if !ValidID(id) {
+		refuse(w, http.StatusNotFound, "no such job")
+		return
+	}
+	a.retry(ctx, w, func() (bool, error) {
+		rec, mark, err := a.read(ctx, id)
+		switch {
+		case err != nil:
+			return false, err
+		case rec == nil:
+			refuse(w, http.StatusNotFound, "no such job")
+			return true, nil
+		case rec.Over():
+			reply(w, http.StatusOK, view{ID: id, Stance: rec.Stance})
+			return true, nil
+		}
+		_, failed, err := a.Store.Commit(ctx, []state.Guard{{Key: RecordKey(id), Mark: mark}},
+			[]state.Write{{Set: RecordKey(id), Value: rec.Ended(Cancelled)}})
+		if err != nil || len(failed) > 0 {
+			return false, err
+		}
+		slog.Debug("job cancelled", "job", id)
+		reply(w, http.StatusOK, view{ID: id, Stance: Cancelled})
+		return true, nil
+	})
+}
--- /dev/null
+++ b/internal/jobs/record.go
@@ -0,0 +1,54 @@
+package jobs
+
+import (
+	"encoding/json"
+	"strings"
+)
+
+// Stances of a job.
+const (
+	Queued    = "queued"
+	Running   = "running"
+	Done      = "done"
+	Cancelled = "aborted"
+)
+
+const (
+	// RecordPrefix holds one key a job, which is never removed.
+	RecordPrefix = "job/"
+	// ChunkPrefix holds the completions of unfinished jobs.
+	ChunkPrefix = "done/"
+)
+
+// Record is what the state service keeps of a job. It is written when the job
+// is accepted and once more when it ends, guarded by its revision, so that a
+// job ends in one way only. A done job keeps no more than that; a cancelled one
+// keeps its description, since its tasks still count until they are gone.
+type Record struct {
+	Stance string `json:"stance"`
+	Tasks  int    `json:"tasks"`
+	Spec   *Spec  `json:"spec,omitempty"`
+	AtMs   int64  `json:"atMs,omitempty"` // time of day of its acceptance
+}
+
+// Over tells whether the record can change no more.
+func (r *Record) Over() bool { return r.Stance == Done || r.Stance == Cancelled }
+
+// Ended returns the record's last form.
+func (r *Record) Ended(stance string) json.RawMessage {
+	end := Record{Stance: stance, Tasks: r.Tasks}
+	if stance == Cancelled {
+		end.Spec = r.Spec
+	}
+	raw, _ := json.Marshal(end)
+	return raw
+}
+
+// RecordKey is the key of a job's record.
+func RecordKey(id string) string { return RecordPrefix + id }
+
+// IDOf returns the job of a record's key.
+func IDOf(key string) string { return strings.TrimPrefix(key, RecordPrefix) }
+
+// Counts are a job's tasks for display.
+type Counts struct{ Done, Running int }
--- /dev/null
+++ b/internal/jobs/spec.go
@@ -0,0 +1,213 @@
+// Package jobs takes users' jobs and keeps their records: any node may accept,
+// show or withdraw a job by linearizable reads and guarded writes.
+package jobs
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"regexp"
+	"slices"
+
+	"ospreyslip/internal/settings"
+)
+
+// Shapes and priorities of jobs.
+const (
+	Batch   = "batch"
+	Service = "daemon"
+
+	Prod       = "prod"
+	Urgent     = "urgent"
+	Standard   = "standard"
+	BestEffort = "best_effort"
+)
+
+var priorities = []string{BestEffort, Standard, Urgent, Prod}
+
+// MaxTasks is the protocol's limit of tasks per job.
+const MaxTasks = 100_000
+
+var idForm = regexp.MustCompile(`^j-[0-9]{1,40}$`)
+
+// ValidID tells whether an id has the form that all jobs' ids have.
+func ValidID(id string) bool { return idForm.MatchString(id) }
+
+// Spec is a job as its user describes it.
+type Spec struct {
+	ID         string   `json:"id"`
+	Class      string   `json:"flock"`
+	Team       string   `json:"crew"`
+	Shape      string   `json:"shape"`
+	Priority   string   `json:"rank"`
+	Tasks      int      `json:"talons"`
+	CPUs       float64  `json:"vcpus"`
+	GPUs       float64  `json:"gpus"`
+	RAMGB      float64  `json:"ramGb"`
+	Image      string   `json:"plumage"`
+	ImageGB    float64  `json:"imageGb"`
+	Types      []string `json:"perches"`
+	Zone       string   `json:"eyrie"`
+	OneZone    bool     `json:"samePlace"`
+	Spread     bool     `json:"scatter"`
+	Spot       bool     `json:"driftwood"`
+	EstimateS  float64  `json:"flightS"`
+	CheckpntS  float64  `json:"roostS"`
+	SaveS      float64  `json:"stashS"`
+	DeadlineS  *float64 `json:"duskS"`
+	rankCached int
+}
+
+// Rank orders priorities; the higher one goes first.
+func (s *Spec) Rank() int {
+	if s.rankCached == 0 {
+		s.rankCached = slices.Index(priorities, s.Priority) + 1
+	}
+	return s.rankCached
+}
+
+// ZoneLimit is how many tasks one zone may have at a time.
+func (s *Spec) ZoneLimit() int {
+	if s.Spread {
+		return (s.Tasks + 1) / 2
+	}
+	return s.Tasks
+}
+
+// Allows tells whether the job may use such a machine, its other tasks aside.
+func (s *Spec) Allows(machineType, zone string, spot bool) bool {
+	return (len(s.Types) == 0 || slices.Contains(s.Types, machineType)) &&
+		(s.Zone == "" || s.Zone == zone) && (s.Spot || !spot)
+}
+
+// ParseSpec reads a submission. Its errors are the user's mistakes.
+func ParseSpec(raw []byte) (*Spec, error) {
+	var in struct {
+		ID        *string   `json:"id"`
+		Class     *string   `json:"flock"`
+		Team      *string   `json:"crew"`
+		Shape     *string   `json:"shape"`
+		Priority  *string   `json:"rank"`
+		Tasks     *int      `json:"talons"`
+		CPUs      *float64  `json:"vcpus"`
+		GPUs      *float64  `json:"gpus"`
+		RAMGB     *float64  `json:"ramGb"`
+		Image     *string   `json:"plumage"`
+		ImageGB   *float64  `json:"imageGb"`
+		Types     []*string `json:"perches"`
+		Zone      *string   `json:"eyrie"`
+		OneZone   *bool     `json:"samePlace"`
+		Spread    *bool     `json:"scatter"`
+		Spot      *bool     `json:"driftwood"`
+		EstimateS *float64  `json:"flightS"`
+		CheckpntS *float64  `json:"roostS"`
+		SaveS     *float64  `json:"stashS"`
+		DeadlineS *float64  `json:"duskS"`
+	}
+	if err := json.Unmarshal(raw, &in); err != nil {
+		return nil, err
+	}
+	var errs []error
+	bad := func(field, want string) { errs = append(errs, fmt.Errorf("%s must be %s", field, want)) }
+	text := func(field string, v *string) string {
+		if v == nil || *v == "" {
+			bad(field, "a string that is not empty")
+			return ""
+		}
+		return *v
+	}
+	amount := func(field string, v *float64) float64 {
+		if v == nil || !(*v >= 0) || math.IsInf(*v, 0) {
+			bad(field, "a number of at least 0")
+			return 0
+		}
+		return *v
+	}
+	flag := func(field string, v *bool) bool {
+		if v == nil {
+			bad(field, "true or false")
+			return false
+		}
+		return *v
+	}
+	s := &Spec{
+		ID: text("id", in.ID), Class: text("flock", in.Class), Team: text("crew", in.Team),
+		Shape: text("shape", in.Shape), Priority: text("rank", in.Priority),
+		CPUs: amount("vcpus", in.CPUs), GPUs: amount("gpus", in.GPUs), RAMGB: amount("ramGb", in.RAMGB),
+		Image: text("plumage", in.Image), ImageGB: amount("imageGb", in.ImageGB),
+		OneZone: flag("samePlace", in.OneZone), Spread: flag("scatter", in.Spread), Spot: flag("driftwood", in.Spot),
+		EstimateS: amount("flightS", in.EstimateS), CheckpntS: amount("roostS", in.CheckpntS), SaveS: amount("stashS", in.SaveS),
+	}
+	if s.ID != "" && !ValidID(s.ID) {
+		bad("id", "of the form j-000412")
+	}
+	if in.Tasks == nil || *in.Tasks < 1 || *in.Tasks > MaxTasks {
+		bad("talons", fmt.Sprintf("an integer from 1 to %d", MaxTasks))
+	} else {
+		s.Tasks = *in.Tasks
+	}
+	if s.Shape != "" && s.Shape != Batch && s.Shape != Service {
+		bad("shape", Batch+" or "+Service)
+	}
+	if s.Priority != "" && !slices.Contains(priorities, s.Priority) {
+		bad("rank", fmt.Sprintf("one of %v", priorities))
+	}
+	for _, t := range in.Types {
+		s.Types = append(s.Types, text("perches", t))
+	}
+	if in.Types != nil && len(in.Types) == 0 {
+		bad("perches", "null or a list that is not empty")
+	}
+	if in.Zone != nil {
+		s.Zone = text("eyrie", in.Zone)
+	}
+	if in.DeadlineS != nil {
+		d := amount("duskS", in.DeadlineS)
+		s.DeadlineS = &d
+	}
+	if err := errors.Join(errs...); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// MachineType is an entry of the cloud's catalog.
+type MachineType struct {
+	Name      string   `json:"label"`
+	CPUs      float64  `json:"vcpus"`
+	GPUs      float64  `json:"gpus"`
+	RAMGB     float64  `json:"ramGb"`
+	CacheGB   float64  `json:"localGb"`
+	FetchGBPS float64  `json:"fetchGbPerS"`
+	Price     float64  `json:"rate"`
+	SpotPrice float64  `json:"lowPrice"`
+	BootS     float64  `json:"startupS"`
+	Zones     []string `json:"eyries"`
+}
+
+// Fits tells whether a task fits an empty machine of the type.
+func (t *MachineType) Fits(s *Spec) bool {
+	return s.CPUs <= t.CPUs && s.GPUs <= t.GPUs && s.RAMGB <= t.RAMGB
+}
+
+// CanEverRun returns why a job can never run, or nil.
+func CanEverRun(s *Spec, types []MachineType, set *settings.Settings) error {
+	team, ok := set.Team(s.Team)
+	if !ok {
+		return fmt.Errorf("crew %q is not known", s.Team)
+	}
+	if !slices.ContainsFunc(types, func(t MachineType) bool {
+		return t.Fits(s) && slices.ContainsFunc(t.Zones, func(z string) bool { return s.Allows(t.Name, z, false) })
+	}) {
+		return errors.New("a task fits no allowed machine type")
+	}
+	n := 1.0
+	if s.Shape == Service {
+		n = float64(s.Tasks)
+	}
+	if team.CPUsMax > 0 && n*s.CPUs > team.CPUsMax || team.GPUsMax > 0 && n*s.GPUs > team.GPUsMax {
+		return fmt.Errorf("the job needs more than the limit of crew %q", s.Team)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/liveness/liveness.go
@@ -0,0 +1,273 @@
+// Package liveness decides which machines are dead. It follows the article
+// that docs/design.md names: a machine that looks dead is called first, a
+// counter ahead of the picture holds all verdicts, and verdicts stop while
+// every zone looks dead. It does no I/O and reads no clock.
+package liveness
+
+import (
+	"slices"
+	"time"
+)
+
+// Config holds the periods, all derived from the settings.
+type Config struct {
+	SilentFor time.Duration // unheard for so long, a machine looks dead
+	LeaseOver time.Duration // by then a worker has ended its tasks by itself
+	HoldGrace time.Duration // how long one floor holds all verdicts
+	Gap       time.Duration // between two verdicts in a zone
+}
+
+// Counter orders the messages of one worker.
+type Counter struct{ Session, Seq uint64 }
+
+// Before tells whether c is older than d.
+func (c Counter) Before(d Counter) bool {
+	return c.Session < d.Session || c.Session == d.Session && c.Seq < d.Seq
+}
+
+// Reason says why a machine was judged dead.
+type Reason string
+
+// The reasons of verdicts.
+const (
+	CallFailed Reason = "call failed"
+	NoNewer    Reason = "no report missed"
+	Dawdles    Reason = "reports stay away"
+)
+
+// Verdict is a confirmed death.
+type Verdict struct {
+	Machine string
+	Reason  Reason
+}
+
+type machine struct {
+	zone      string
+	heard     time.Time // when its last report came
+	known     Counter   // of the newest message seen
+	calls     uint64    // calls sent since then: each raises the counter once
+	synced    bool      // has reported to this leader
+	calling   bool
+	callAfter time.Time // one answer is enough for a while
+	confirmed Reason    // set: dead, the verdict awaits its turn
+	judged    bool      // the verdict is out
+	floor     Counter   // set: the report that ends the hold
+	holdUntil time.Time // a floor holds no longer than this
+	dawdles   bool      // a hold ran out on it; it may not cause another
+}
+
+// Watch keeps the picture of all machines. One goroutine owns it.
+type Watch struct {
+	cfg       Config
+	machines  map[string]*machine
+	pacers    map[string]*Pacer
+	disrupted bool
+}
+
+// New makes an empty picture.
+func New(cfg Config) *Watch {
+	return &Watch{cfg: cfg, machines: map[string]*machine{}, pacers: map[string]*Pacer{}}
+}
+
+// Restore adds a machine that an earlier leader knew. It is unsynced: until it
+// reports, or until its lease must have run out, nothing is judged.
+func (w *Watch) Restore(id, zone string, now time.Time) {
+	if _, ok := w.machines[id]; !ok {
+		w.machines[id] = &machine{zone: zone, heard: now}
+	}
+}
+
+// Forget drops a machine that is gone.
+func (w *Watch) Forget(id string) { delete(w.machines, id) }
+
+// Heard takes in a report. Old copies that were held up on the way change
+// nothing: they do not show that the machine is alive now.
+func (w *Watch) Heard(id, zone string, c Counter, now time.Time) {
+	m := w.machines[id]
+	if m == nil {
+		m = &machine{zone: zone}
+		w.machines[id] = m
+	} else if m.synced && !m.known.Before(c) {
+		return
+	}
+	if m.floor != (Counter{}) && !c.Before(m.floor) {
+		m.floor = Counter{}
+	}
+	m.zone, m.heard, m.known, m.calls = zone, now, c, 0
+	m.synced, m.judged, m.dawdles, m.confirmed = true, false, false, ""
+	if w.disrupted {
+		w.leaveDisruption(now)
+	}
+}
+
+// Answered takes in a worker's answer to an order: a newer picture, but no
+// report, so that the machine is not heard by it.
+func (w *Watch) Answered(id string, c Counter) {
+	if m := w.machines[id]; m != nil && m.known.Before(c) {
+		m.known, m.calls = c, 0
+	}
+}
+
+// Called notes that an order was sent: if it arrives, it raises the counter,
+// whether or not its answer does.
+func (w *Watch) Called(id string) {
+	if m := w.machines[id]; m != nil {
+		m.calls++
+	}
+}
+
+// Judged tells whether a machine's death has been decided.
+func (w *Watch) Judged(id string) bool {
+	m := w.machines[id]
+	return m != nil && m.judged
+}
+
+// Placeable tells whether work may go to a machine: it has reported to this
+// leader and is neither silent, dead nor dawdling.
+func (w *Watch) Placeable(id string, now time.Time) bool {
+	m := w.machines[id]
+	return m != nil && m.synced && !m.judged && !m.dawdles && m.confirmed == "" && !w.silent(m, now)
+}
+
+// Held tells whether a floor holds all verdicts.
+func (w *Watch) Held(now time.Time) bool {
+	for _, m := range w.machines {
+		if m.floor != (Counter{}) && now.Before(m.holdUntil) {
+			return true
+		}
+	}
+	return false
+}
+
+// Disrupted tells whether every zone looks dead.
+func (w *Watch) Disrupted() bool { return w.disrupted }
+
+func (w *Watch) silent(m *machine, now time.Time) bool {
+	limit := w.cfg.SilentFor
+	if !m.synced {
+		limit = w.cfg.LeaseOver
+	}
+	return now.Sub(m.heard) > limit
+}
+
+// Tick returns the machines to call now and the verdicts to carry out.
+func (w *Watch) Tick(now time.Time) (calls []string, verdicts []Verdict) {
+	if w.allSilent(now) && !w.disrupted {
+		w.disrupted = true
+		for _, p := range w.pacers {
+			p.Swap(0, now)
+		}
+	}
+	held := false
+	ids := make([]string, 0, len(w.machines))
+	for id, m := range w.machines {
+		ids = append(ids, id)
+		if m.floor == (Counter{}) {
+			continue
+		}
+		if now.Before(m.holdUntil) {
+			held = true
+			continue
+		}
+		// The grace is over and the report never came: this machine's lag says
+		// nothing about the others, and it may not hold them up again.
+		m.floor, m.dawdles = Counter{}, true
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		m := w.machines[id]
+		if m.judged || m.calling || !w.silent(m, now) {
+			continue
+		}
+		if m.confirmed == "" {
+			if now.Before(m.callAfter) {
+				continue
+			}
+			m.calling = true
+			m.calls++
+			calls = append(calls, id)
+			continue
+		}
+		if held || w.disrupted || !w.pacer(m.zone).Allow(now) {
+			continue
+		}
+		m.judged = true
+		verdicts = append(verdicts, Verdict{id, m.confirmed})
+	}
+	return calls, verdicts
+}
+
+// CallDone takes in the outcome of a call that Tick asked for.
+func (w *Watch) CallDone(id string, ok bool, c Counter, now time.Time) {
+	m := w.machines[id]
+	if m == nil || !m.calling {
+		return
+	}
+	m.calling = false
+	if !w.silent(m, now) {
+		return // it reported meanwhile
+	}
+	if !ok {
+		m.floor = Counter{}
+		m.confirmed = CallFailed
+		return
+	}
+	// Each call of ours that arrived raised the counter by one, this one too.
+	// What is beyond them are reports that we have missed: our picture lags,
+	// and it may lag for every machine.
+	expected := Counter{m.known.Session, m.known.Seq + m.calls}
+	ahead := m.synced && expected.Before(c)
+	// The answer is a newer picture, so that our next calls are counted from
+	// it. The floor is the last report before it, set once for a hold: were it
+	// raised by our own calls, the hold would feed itself.
+	if m.known.Before(c) {
+		m.known, m.calls = c, 0
+	}
+	switch {
+	case ahead && !m.dawdles:
+		if m.floor == (Counter{}) {
+			m.floor = c
+			m.holdUntil = now.Add(w.cfg.HoldGrace)
+		}
+		m.callAfter = now.Add(w.cfg.HoldGrace / 2)
+	case m.dawdles:
+		m.confirmed = Dawdles
+	default:
+		m.confirmed = NoNewer
+	}
+}
+
+func (w *Watch) pacer(zone string) *Pacer {
+	p := w.pacers[zone]
+	if p == nil {
+		p = NewPacer(w.cfg.Gap)
+		w.pacers[zone] = p
+	}
+	return p
+}
+
+// allSilent tells whether every machine of every zone looks dead. A single
+// machine says nothing about its surroundings.
+func (w *Watch) allSilent(now time.Time) bool {
+	if len(w.machines) < 2 {
+		return false
+	}
+	for _, m := range w.machines {
+		if !w.silent(m, now) {
+			return false
+		}
+	}
+	return true
+}
+
+// leaveDisruption starts afresh: what was silent for lack of any connection
+// must not look dead at once.
+func (w *Watch) leaveDisruption(now time.Time) {
+	w.disrupted = false
+	for _, m := range w.machines {
+		m.heard, m.confirmed = now, ""
+	}
+	for _, p := range w.pacers {
+		p.Swap(w.cfg.Gap, now)
+	}
+}
--- /dev/null
+++ b/internal/settings/derived.go
@@ -0,0 +1,100 @@
+package settings
+
+import (
+	"fmt"
+	"io"
+	"reflect"
+	"time"
+)
+
+// clockDrift bounds how far two steady clocks drift apart (the protocol's 0.05%),
+// doubled because each of two clocks may be off.
+const clockDrift = 0.001
+
+// Derived holds every figure computed from the settings. Each is a ratio to a
+// figure handed over, so that one program serves deployments of any pace.
+type Derived struct {
+	Report time.Duration // a worker's report period
+	Lease  time.Duration // a worker's lease
+	Cancel time.Duration // time until a cancelled task must be gone
+
+	LeaseOver  time.Duration // a worker's lease, as measured by any clock but its own
+	SilentFor  time.Duration // a machine unheard for so long looks dead
+	CallWait   time.Duration // how long a call to a worker may take
+	HoldGrace  time.Duration // how long one floor can hold all verdicts
+	VerdictGap time.Duration // least time between two verdicts in a zone
+
+	TermLease   time.Duration // the term's lease in the state service
+	TermRenew   time.Duration // how often it is renewed
+	TermSafe    time.Duration // how long after a renewal was sent the term holds
+	WatchStale  time.Duration // a picture of the jobs older than this serves no worker
+	WatchWait   time.Duration // how long one watch waits
+	StateWait   time.Duration // how long one request to the state service may take
+	UserWait    time.Duration // how long one user's request may take in all
+	DoubtFor    time.Duration // an order without an answer is cleared up after so long
+	CloudWait   time.Duration
+	ListEvery   time.Duration
+	ListLag     time.Duration
+	TxnOps      int
+	TxnGuards   int
+	ValueBytes  int
+	ChunkTasks  int // tasks per record of completions
+	MemoryBytes int64
+	UserConns   int
+	UserQueue   int
+}
+
+// Derive computes the figures.
+func (s *Settings) Derive() Derived {
+	d := &s.Deployment
+	report, lease, cancel := seconds(d.Workers.ReportS), seconds(d.Workers.LeaseS), seconds(d.Workers.CancelS)
+	// The next leader has to be found by workers that may lose up to four
+	// seconds on a silent node, and all of that within their lease.
+	term := min(lease/4, report*3/2)
+	lag := seconds(d.Cloud.ListLagS)
+	value := int(d.State.ValueKB * 1024)
+	return Derived{
+		Report: report,
+		Lease:  lease,
+		Cancel: cancel,
+
+		LeaseOver:  time.Duration(float64(lease)*(1+clockDrift)) + report/10,
+		SilentFor:  3 * report,
+		CallWait:   report / 2,
+		HoldGrace:  2 * report,
+		VerdictGap: time.Second,
+
+		TermLease: term,
+		TermRenew: term / 5,
+		TermSafe:  time.Duration(float64(term)*(1-clockDrift)) - term/20,
+		// A cancellation that the leader has not seen may outlast its own
+		// picture by a whole worker lease; half of the rest is kept in hand.
+		WatchStale: (cancel - lease) / 2,
+		WatchWait:  (cancel - lease) / 8,
+		StateWait:  term / 2,
+		UserWait:   4 * time.Second * 2 / 5, // polls wait 2 s, submissions 5 s
+		DoubtFor:   report,
+		CloudWait:  2 * lag,
+		ListEvery:  lag / 2,
+		ListLag:    lag,
+
+		TxnOps:      d.State.TxnOps,
+		TxnGuards:   4 * d.State.TxnOps,
+		ValueBytes:  value,
+		ChunkTasks:  value, // an eighth of it in bits, a sixth as text
+		MemoryBytes: int64(d.Limits.MemoryMB * (1 << 20)),
+		UserConns:   d.Limits.MaxSockets / 2,
+		UserQueue:   max(8, d.Limits.MaxSockets/16),
+	}
+}
+
+// Print writes the figures, one a line.
+func (d Derived) Print(w io.Writer) error {
+	v := reflect.ValueOf(d)
+	for i := range v.NumField() {
+		if _, err := fmt.Fprintf(w, "%-12s %v\n", v.Type().Field(i).Name, v.Field(i).Interface()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,183 @@
+// Package settings reads what the platform hands over and derives every
+// duration and limit that the rest of the program uses.
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/BurntSushi/toml"
+)
+
+// Settings is the platform's file. Unknown fields are ignored, so that new
+// ones may appear without a new release.
+type Settings struct {
+	Node          string     `toml:"node_name"`
+	Zone          string     `toml:"location"`
+	Listen        string     `toml:"bind"`
+	ClusterListen string     `toml:"cluster_listen"`
+	Peers         []Peer     `toml:"peers"`
+	Endpoints     Endpoints  `toml:"endpoints"`
+	Deployment    Deployment `toml:"deployment"`
+}
+
+// Peer is another controller.
+type Peer struct {
+	Node string `toml:"node_name"`
+	Zone string `toml:"location"`
+	Addr string `toml:"peer_addr"`
+}
+
+// Endpoints are the outside services.
+type Endpoints struct {
+	Cloud string `toml:"cloud"`
+	State string `toml:"state"`
+}
+
+// Deployment is what all controllers have in common.
+type Deployment struct {
+	Nodes      int         `toml:"nodes"`
+	Zones      []string    `toml:"zones"`
+	ClockOffMs float64     `toml:"clock_off_ms"`
+	Teams      []Team      `toml:"teams"`
+	Objectives []Objective `toml:"objectives"`
+	Workers    Workers     `toml:"workers"`
+	State      State       `toml:"state"`
+	Cloud      Cloud       `toml:"cloud"`
+	Limits     Limits      `toml:"machine_limits"`
+}
+
+// Team has a guarantee and a limit; a limit of 0 means none.
+type Team struct {
+	Name    string  `toml:"name"`
+	CPUs    float64 `toml:"cpus"`
+	CPUsMax float64 `toml:"cpus_max"`
+	GPUs    float64 `toml:"gpus"`
+	GPUsMax float64 `toml:"gpus_max"`
+}
+
+// Objective is an aim at start or at finish.
+type Objective struct {
+	Kind    string  `toml:"kind"`
+	Class   string  `toml:"class"`
+	WithinS float64 `toml:"within_s"`
+	Share   float64 `toml:"share"`
+}
+
+// Workers holds the workers' periods.
+type Workers struct {
+	ReportS float64 `toml:"report_s"`
+	LeaseS  float64 `toml:"lease_s"`
+	CancelS float64 `toml:"cancel_s"`
+}
+
+// State holds the state service's limits.
+type State struct {
+	RPS      float64 `toml:"rps"`
+	WriteRPS float64 `toml:"write_rps"`
+	ValueKB  float64 `toml:"value_kb"`
+	TxnOps   int     `toml:"txn_ops"`
+}
+
+// Cloud holds the cloud's limits.
+type Cloud struct {
+	RPS      float64 `toml:"rps"`
+	ListLagS float64 `toml:"list_lag_s"`
+}
+
+// Limits is what one controller may use of its host.
+type Limits struct {
+	Cores      float64 `toml:"cores"`
+	MemoryMB   float64 `toml:"memory_mb"`
+	MaxSockets int     `toml:"max_sockets"`
+}
+
+// Load reads and checks a settings file.
+func Load(path string) (*Settings, error) {
+	var s Settings
+	if _, err := toml.DecodeFile(path, &s); err != nil {
+		return nil, fmt.Errorf("settings %s: %w", path, err)
+	}
+	if err := s.check(); err != nil {
+		return nil, fmt.Errorf("settings %s: %w", path, err)
+	}
+	return &s, nil
+}
+
+func (s *Settings) check() error {
+	var errs []error
+	bad := func(format string, args ...any) { errs = append(errs, fmt.Errorf(format, args...)) }
+	positive := func(name string, v float64) {
+		if !(v > 0) || math.IsInf(v, 0) {
+			bad("%s must be a finite number above 0, is %v", name, v)
+		}
+	}
+	address := func(name, v string) {
+		if _, _, err := net.SplitHostPort(v); err != nil {
+			bad("%s must be host:port, is %q", name, v)
+		}
+	}
+	if s.Node == "" {
+		bad("node_name is missing")
+	}
+	address("bind", s.Listen)
+	address("cluster_listen", s.ClusterListen)
+	address("endpoints.cloud", s.Endpoints.Cloud)
+	address("endpoints.state", s.Endpoints.State)
+	for i, p := range s.Peers {
+		if p.Node == "" || p.Node == s.Node {
+			bad("peers[%d].node_name must name another node, is %q", i, p.Node)
+		}
+		address(fmt.Sprintf("peers[%d].peer_addr", i), p.Addr)
+	}
+	d := &s.Deployment
+	if len(d.Zones) == 0 {
+		bad("deployment.zones is empty")
+	}
+	seen := map[string]bool{}
+	for i, t := range d.Teams {
+		if t.Name == "" || seen[t.Name] {
+			bad("deployment.teams[%d].name must be set and unique, is %q", i, t.Name)
+		}
+		seen[t.Name] = true
+		for name, v := range map[string]float64{"cpus": t.CPUs, "cpus_max": t.CPUsMax, "gpus": t.GPUs, "gpus_max": t.GPUsMax} {
+			if !(v >= 0) || math.IsInf(v, 0) {
+				bad("deployment.teams[%d].%s must be a finite number of at least 0, is %v", i, name, v)
+			}
+		}
+	}
+	positive("deployment.workers.report_s", d.Workers.ReportS)
+	positive("deployment.workers.lease_s", d.Workers.LeaseS)
+	positive("deployment.workers.cancel_s", d.Workers.CancelS)
+	positive("deployment.state.rps", d.State.RPS)
+	positive("deployment.state.write_rps", d.State.WriteRPS)
+	positive("deployment.state.value_kb", d.State.ValueKB)
+	if d.State.TxnOps < 4 {
+		bad("deployment.state.txn_ops must be at least 4, is %d", d.State.TxnOps)
+	}
+	positive("deployment.cloud.rps", d.Cloud.RPS)
+	positive("deployment.cloud.list_lag_s", d.Cloud.ListLagS)
+	positive("deployment.machine_limits.memory_mb", d.Limits.MemoryMB)
+	if d.Limits.MaxSockets < 16 {
+		bad("deployment.machine_limits.max_sockets must be at least 16, is %d", d.Limits.MaxSockets)
+	}
+	if d.Workers.CancelS <= d.Workers.LeaseS {
+		bad("deployment.workers.cancel_s (%v) must exceed lease_s (%v)", d.Workers.CancelS, d.Workers.LeaseS)
+	}
+	return errors.Join(errs...)
+}
+
+// Team returns the team of that name.
+func (s *Settings) Team(name string) (Team, bool) {
+	i := slices.IndexFunc(s.Deployment.Teams, func(t Team) bool { return t.Name == name })
+	if i < 0 {
+		return Team{}, false
+	}
+	return s.Deployment.Teams[i], true
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/workers/calls.go
@@ -0,0 +1,79 @@
+package workers
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+)
+
+// maxReport bounds what is read of a worker's answer: 64 KiB a line, and a
+// report is one line.
+const maxReport = 64 << 10
+
+// Client calls workers.
+type Client struct {
+	http *http.Client
+	wait time.Duration
+}
+
+// NewClient makes a client whose calls wait for at most wait.
+func NewClient(wait time.Duration) *Client {
+	return &Client{wait: wait, http: &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: 1,
+		MaxConnsPerHost:     4,
+		IdleConnTimeout:     time.Minute,
+		DisableCompression:  true,
+	}}}
+}
+
+// Order sends commands. ok tells whether they were executed; the report is the
+// worker's own after that. With an error the outcome is unknown.
+func (c *Client) Order(ctx context.Context, addr string, o Order) (r *Report, ok bool, err error) {
+	raw, err := json.Marshal(o)
+	if err != nil {
+		return nil, false, err
+	}
+	return c.call(ctx, http.MethodPost, "http://"+addr+"/orders", raw)
+}
+
+// Inspect asks for a worker's report.
+func (c *Client) Inspect(ctx context.Context, addr string) (*Report, error) {
+	r, ok, err := c.call(ctx, http.MethodGet, "http://"+addr+"/inspect", nil)
+	if err == nil && !ok {
+		err = fmt.Errorf("inspect refused")
+	}
+	return r, err
+}
+
+func (c *Client) call(ctx context.Context, method, url string, body []byte) (*Report, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.wait)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, false, err
+	}
+	// One message is sent once: a copy that the transport made by itself
+	// could start a task again after its end was cleared.
+	req.GetBody = nil
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, false, err
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, 16*maxReport))
+	if err != nil {
+		return nil, false, err
+	}
+	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusConflict {
+		return nil, false, fmt.Errorf("status %d", resp.StatusCode)
+	}
+	var r Report
+	if err := json.Unmarshal(raw, &r); err != nil {
+		return nil, false, err
+	}
+	return &r, resp.StatusCode == http.StatusOK, nil
+}
