--- a/cmd/ospreyslip/main.go
+++ b/cmd/ospreyslip/main.go
@@ -49,7 +49,7 @@
 			if err != nil {
 				return err
 			}
-			return node.New(set).Run(cmd.Context())
+			return node.New(set, node.Wire{}).Run(cmd.Context())
 		},
 	}
 	cmd.PersistentFlags().StringVar(&config, "config", "", "settings file (TOML)")
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -28,8 +28,12 @@
 	Cloud    *fleet.Cloud
 	Workers  *workers.Client
 	Valid    func() bool // holds the term at this moment
-	Catalog  func() []jobs.MachineType
-	Counts   *Counts
+	// Proven is when no node could reach the state service: until then no user
+	// can have been told of a cancellation that this node has not seen.
+	Proven  func() time.Time
+	Publish func(map[string]jobs.Counts)
+	Catalog func() []jobs.MachineType
+	Counts  *Counts
 }
 
 // Counts hands the leader's display counts to the users' side.
@@ -61,6 +65,26 @@
 	delete(c.m, id)
 }
 
+// Replace takes in the counts that a leader has published.
+func (c *Counts) Replace(m map[string]jobs.Counts) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.m = m
+}
+
+// shown returns the counts that say more than that nothing has happened.
+func (c *Counts) shown() map[string]jobs.Counts {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	out := make(map[string]jobs.Counts, len(c.m))
+	for id, v := range c.m {
+		if v != (jobs.Counts{}) {
+			out[id] = v
+		}
+	}
+	return out
+}
+
 func (c *Counts) clear() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -68,7 +92,10 @@
 }
 
 // Gate leads reports to the leader that is on duty, if there is one.
-type Gate struct{ on atomic.Pointer[Leader] }
+type Gate struct {
+	on       atomic.Pointer[Leader]
+	resigned time.Time // owned by the goroutine that leads
+}
 
 // Report hands a report over and returns the answer; nil means that this node
 // has no right, or no time, to answer.
@@ -120,6 +147,8 @@
 	writing   bool
 	tokenMark uint64
 	raise     bool
+	mayResign bool
+	resign    bool
 	finals    []*job
 	chunks    []chunkRef
 	dirty     []*machine
@@ -127,6 +156,7 @@
 	replan     bool
 	plannedAt  time.Time
 	unmet      []placement.Demand
+	shownAt    time.Time
 	fleetAt    time.Time
 	charters   int
 	renting    map[fleet.Kind]int
@@ -174,8 +204,14 @@
 	}
 	duties.Go(func() { l.follow(ctx, after) })
 	duties.Go(func() { l.listing(ctx) })
+	// A leader that no worker reaches makes way for one that may be reached. It
+	// does so once in a while only: if all machines are really gone, nobody can.
+	l.mayResign = time.Since(g.resigned) > 4*d.Derived.Lease && len(d.Settings.Peers) > 0
 	g.on.Store(l)
 	l.run(ctx)
+	if l.resign {
+		g.resigned = time.Now()
+	}
 }
 
 // post hands an outcome to the leader's goroutine.
@@ -211,7 +247,7 @@
 				more = false
 			}
 		}
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || l.resign {
 			return
 		}
 		now := time.Now()
@@ -294,6 +330,7 @@
 	m := newMachine(id, now)
 	m.addr, m.typ, m.zone, m.spot, m.mark = rec.Addr, rec.Type, rec.Zone, rec.Spot, mark
 	m.session, m.phase, m.leaseUntil = rec.Session, up, now.Add(l.Derived.LeaseOver)
+	m.poke = true // an order, even an empty one, shows the worker our token
 	l.machines[id] = m
 	l.watch.Restore(id, m.zone, now)
 	for _, t := range rec.Tasks {
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -147,6 +147,22 @@
 		l.judged(ctx, l.machines[v.Machine], v.Reason, now)
 	}
 	l.manageFleet(ctx, now)
+	if l.watch.Disrupted() && l.mayResign {
+		slog.Info("resigning", "term", l.token, "reason", "no machine of any zone reports here")
+		l.resign = true
+	}
+	if now.Sub(l.shownAt) > l.Derived.Report/2 {
+		l.shownAt = now
+		l.Publish(l.Counts.shown())
+	}
+}
+
+// pictureAge is how old the picture of users' wishes may be.
+func (l *Leader) pictureAge(now time.Time) time.Duration {
+	if p := l.Proven(); p.After(l.fresh) {
+		return now.Sub(p)
+	}
+	return now.Sub(l.fresh)
 }
 
 func (l *Leader) inspected(m *machine, r *workers.Report, err error, now time.Time) {
--- a/internal/control/tasks.go
+++ b/internal/control/tasks.go
@@ -214,7 +214,7 @@
 
 // report answers a worker, or returns nil if this node has no right to.
 func (l *Leader) report(r *workers.Report, now time.Time) *workers.Answer {
-	if !l.Valid() || now.Sub(l.fresh) > l.Derived.WatchStale || r.Token > l.token {
+	if !l.Valid() || l.pictureAge(now) > l.Derived.WatchStale || r.Token > l.token {
 		return nil
 	}
 	m := l.machines[r.Machine]
--- a/internal/fleet/cloud.go
+++ b/internal/fleet/cloud.go
@@ -67,17 +67,12 @@
 }
 
 // NewCloud makes a client that sends at most rps requests a second.
-func NewCloud(addr string, wait time.Duration, rps float64) *Cloud {
+func NewCloud(addr string, rt http.RoundTripper, wait time.Duration, rps float64) *Cloud {
 	return &Cloud{
 		base:  "http://" + addr,
 		wait:  wait,
 		limit: rate.NewLimiter(rate.Limit(rps), max(1, int(rps))),
-		http: &http.Client{Transport: &http.Transport{
-			MaxIdleConnsPerHost: 4,
-			MaxConnsPerHost:     8,
-			IdleConnTimeout:     time.Minute,
-			DisableCompression:  true,
-		}},
+		http:  &http.Client{Transport: rt},
 	}
 }
 
--- /dev/null
+++ b/internal/node/cluster_test.go
@@ -0,0 +1,246 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"ospreyslip/internal/jobs"
+	"ospreyslip/internal/settings"
+	"ospreyslip/internal/standin"
+)
+
+func TestMain(m *testing.M) {
+	level := slog.LevelError + 1
+	if os.Getenv("LOG_LEVEL") == "debug" {
+		level = slog.LevelDebug
+	}
+	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})))
+	os.Exit(m.Run())
+}
+
+// cluster is three controllers in a world of stand-ins, all in one bubble of
+// time: a day passes in moments, and every run sees the same clock.
+type cluster struct {
+	t      *testing.T
+	ctx    context.Context
+	world  *standin.World
+	nodes  map[string]*life
+	names  []string
+	tweak  func(*settings.Settings)
+	duties sync.WaitGroup
+}
+
+type life struct {
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+var testTypes = []jobs.MachineType{{
+	Name: "c4", CPUs: 4, RAMGB: 32, CacheGB: 50, FetchGBPS: 1, Price: 0.3, SpotPrice: 0.1, BootS: 10, Zones: []string{"a", "b", "c"},
+}}
+
+func clusterOf(name string) string { return "10.0.0." + name[len(name)-1:] + ":8081" }
+
+func addrOf(name string) string { return "10.0.0." + name[len(name)-1:] + ":8080" }
+
+// inCluster runs a scenario. Whatever it does, no rule may be broken.
+func inCluster(t *testing.T, tweak func(*settings.Settings), scenario func(c *cluster)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		c := &cluster{t: t, ctx: ctx, nodes: map[string]*life{}, names: []string{"perch-0", "perch-1", "perch-2"}, tweak: tweak}
+		pace := standin.Pace{Report: 2 * time.Second, Lease: 20 * time.Second, Fetch: time.Second, Nodes: c.names, Addrs: map[string]string{}}
+		for _, n := range c.names {
+			pace.Addrs[n] = addrOf(n)
+		}
+		c.world = standin.NewWorld(ctx, testTypes, pace)
+		c.world.Cancel = 40 * time.Second
+		c.world.Teams = c.settings(c.names[0]).Deployment.Teams
+		c.world.Net.Attach("state", "10.2.0.1:1", c.world.State)
+		c.world.Net.Attach("cloud", "10.2.0.2:1", c.world)
+		for _, n := range c.names {
+			c.start(n)
+		}
+		c.run(5 * time.Second)
+		scenario(c)
+		c.world.CheckCancelled()
+		for _, b := range c.world.Broken() {
+			t.Errorf("rule broken: %s", b)
+		}
+		cancel()
+		c.duties.Wait()
+		c.world.Net.Faults(nil)
+		c.world.Wait()
+		c.world.Net.Wait()
+	})
+}
+
+func (c *cluster) settings(name string) *settings.Settings {
+	s := &settings.Settings{
+		Node: name, Zone: "a", Listen: addrOf(name), ClusterListen: clusterOf(name),
+		Endpoints: settings.Endpoints{Cloud: "10.2.0.2:1", State: "10.2.0.1:1"},
+		Deployment: settings.Deployment{
+			Nodes: 3, Zones: []string{"a", "b", "c"},
+			Teams:   []settings.Team{{Name: "red", CPUs: 8, CPUsMax: 16}, {Name: "blue", CPUs: 8, CPUsMax: 40}},
+			Workers: settings.Workers{ReportS: 2, LeaseS: 20, CancelS: 40},
+			State:   settings.State{RPS: 150, WriteRPS: 50, ValueKB: 32, TxnOps: 12},
+			Cloud:   settings.Cloud{RPS: 6, ListLagS: 4},
+			Limits:  settings.Limits{Cores: 0.1, MemoryMB: 100, MaxSockets: 1000},
+		},
+	}
+	for _, n := range c.names {
+		if n != name {
+			s.Peers = append(s.Peers, settings.Peer{Node: n, Zone: "a", Addr: clusterOf(n)})
+		}
+	}
+	if c.tweak != nil {
+		c.tweak(s)
+	}
+	return s
+}
+
+func (c *cluster) start(name string) {
+	ctx, cancel := context.WithCancel(c.ctx)
+	n := New(c.settings(name), Wire{
+		HTTP: c.world.Net.From(name),
+		Dial: func(ctx context.Context, addr string) (net.Conn, error) { return c.world.Net.Dial(ctx, name, addr) },
+	})
+	l := &life{cancel: cancel, done: make(chan struct{})}
+	c.nodes[name] = l
+	c.world.Net.Attach(name, addrOf(name), n.Handler())
+	c.duties.Go(func() { n.Work(ctx, c.world.Net.Listen(name, clusterOf(name))); close(l.done) })
+}
+
+// crash ends a node without a last word: nothing it says any more arrives.
+func (c *cluster) crash(names ...string) {
+	dead := map[string]bool{}
+	for _, n := range names {
+		dead[n] = true
+	}
+	c.world.Net.Faults(func(from, to, _ string) standin.Fault {
+		if dead[from] || dead[to] {
+			return standin.Refuse
+		}
+		return standin.Deliver
+	})
+	for _, n := range names {
+		c.nodes[n].cancel()
+		<-c.nodes[n].done
+		c.world.Net.Attach(n, addrOf(n), nil)
+	}
+	c.world.Net.Faults(nil)
+}
+
+func (c *cluster) run(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+func (c *cluster) leader() string {
+	var h struct{ Node string }
+	_ = json.Unmarshal(c.world.State.Value("term/holder"), &h)
+	return h.Node
+}
+
+func (c *cluster) ask(method, node, path string, body any) (int, map[string]any) {
+	raw, _ := json.Marshal(body)
+	req, err := http.NewRequest(method, "http://"+addrOf(node)+path, bytes.NewReader(raw))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	client := &http.Client{Transport: c.world.Net.From("user"), Timeout: 5 * time.Second}
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, nil
+	}
+	defer resp.Body.Close()
+	out, _ := io.ReadAll(resp.Body)
+	var view map[string]any
+	_ = json.Unmarshal(out, &view)
+	return resp.StatusCode, view
+}
+
+func batch(id string, tasks int, seconds float64) *jobs.Spec {
+	return &jobs.Spec{
+		ID: id, Class: "sums", Team: "blue", Shape: jobs.Batch, Priority: jobs.Standard, Tasks: tasks,
+		CPUs: 1, RAMGB: 1, Image: "img", ImageGB: 1, Spot: true, EstimateS: seconds,
+	}
+}
+
+func service(id string, tasks int) *jobs.Spec {
+	return &jobs.Spec{
+		ID: id, Class: "web", Team: "red", Shape: jobs.Service, Priority: jobs.Prod, Tasks: tasks,
+		CPUs: 2, RAMGB: 1, Image: "web", ImageGB: 1, Spread: true,
+	}
+}
+
+// asUser gives a spec its form on the wire, where null is not the empty string.
+func asUser(s *jobs.Spec) map[string]any {
+	raw, _ := json.Marshal(s)
+	var m map[string]any
+	_ = json.Unmarshal(raw, &m)
+	if s.Zone == "" {
+		m["eyrie"] = nil
+	}
+	return m
+}
+
+func (c *cluster) submit(node string, s *jobs.Spec) {
+	c.t.Helper()
+	c.world.Upload(s)
+	if status, view := c.ask("POST", node, "/v1/jobs", asUser(s)); status != http.StatusCreated {
+		c.t.Fatalf("submit %s: %d %v", s.ID, status, view)
+	}
+}
+
+func (c *cluster) withdraw(node, id string) {
+	c.t.Helper()
+	if status, view := c.ask("POST", node, "/v1/jobs/"+id+"/withdraw", nil); status != http.StatusOK || view["stance"] != "aborted" {
+		c.t.Fatalf("withdraw %s: %d %v", id, status, view)
+	}
+	c.world.ToldCancelled(id)
+}
+
+func (c *cluster) stance(id string) string {
+	for _, n := range c.names {
+		if status, view := c.ask("GET", n, "/v1/jobs/"+id, nil); status == http.StatusOK {
+			return view["stance"].(string)
+		}
+	}
+	return "unknown"
+}
+
+// within waits for something to become true.
+func (c *cluster) within(d time.Duration, what string, is func() bool) {
+	c.t.Helper()
+	for start := time.Now(); time.Since(start) < d; c.run(200 * time.Millisecond) {
+		if is() {
+			return
+		}
+	}
+	c.t.Errorf("not within %v: %s; %s", d, what, c.world.Summary())
+}
+
+func (c *cluster) withinDone(d time.Duration, id string) {
+	c.t.Helper()
+	c.within(d, id+" done", func() bool { return c.stance(id) == jobs.Done })
+}
+
+// on counts the tasks of a job that are on machines.
+func (c *cluster) on(id string, tasks int) (n int) {
+	for i := range tasks {
+		n += len(c.world.On(fmt.Sprintf("%s/%d", id, i)))
+	}
+	return n
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"runtime"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -20,6 +21,7 @@
 	"ospreyslip/internal/control"
 	"ospreyslip/internal/fleet"
 	"ospreyslip/internal/jobs"
+	"ospreyslip/internal/peer"
 	"ospreyslip/internal/settings"
 	"ospreyslip/internal/state"
 	"ospreyslip/internal/term"
@@ -45,18 +47,71 @@
 	d       settings.Derived
 	store   *state.Client
 	cloud   *fleet.Cloud
+	workers *workers.Client
+	keeper  *term.Keeper
+	gate    *control.Gate
+	counts  *control.Counts
+	listen  func(addr string) (net.Listener, error)
+	hub     *peer.Hub
 	catalog atomic.Pointer[[]jobs.MachineType]
 }
 
+// Wire is how a node reaches others; nil fields mean the real network.
+type Wire struct {
+	HTTP   http.RoundTripper
+	Dial   peer.Dial
+	Listen func(addr string) (net.Listener, error)
+}
+
+// transport makes connections to one kind of service: a few to each address,
+// all together within this node's sockets.
+func transport(each int) http.RoundTripper {
+	return &http.Transport{
+		MaxIdleConnsPerHost: each,
+		MaxConnsPerHost:     2 * each,
+		IdleConnTimeout:     time.Minute,
+		DisableCompression:  true,
+	}
+}
+
 // New makes a node from checked settings.
-func New(set *settings.Settings) *Node {
+func New(set *settings.Settings, w Wire) *Node {
 	d := set.Derive()
-	n := &Node{set: set, d: d}
-	n.store = state.New(set.Endpoints.State, d.StateWait, state.Budget{
+	pick := func(each int) http.RoundTripper {
+		if w.HTTP != nil {
+			return w.HTTP
+		}
+		return transport(each)
+	}
+	if w.Dial == nil {
+		w.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+			var dialer net.Dialer
+			return dialer.DialContext(ctx, "tcp", addr)
+		}
+	}
+	if w.Listen == nil {
+		w.Listen = func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+	}
+	n := &Node{set: set, d: d, listen: w.Listen, counts: control.NewCounts(), gate: &control.Gate{}}
+	n.workers = workers.NewClient(pick(2), d.CallWait)
+	n.store = state.New(set.Endpoints.State, pick(16), d.StateWait, state.Budget{
 		Requests: requestShare * set.Deployment.State.RPS,
 		Writes:   followerWrites * set.Deployment.State.WriteRPS,
 	})
-	n.cloud = fleet.NewCloud(set.Endpoints.Cloud, d.CloudWait, set.Deployment.Cloud.RPS*leaderWrites)
+	n.keeper = term.NewKeeper(set.Node, n.store, term.Timing{
+		Lease: d.TermLease, Renew: d.TermRenew, Safe: d.TermSafe, WatchWait: d.WatchWait, Retry: d.TermRenew,
+	})
+	n.hub = peer.NewHub(set.Node, set.Peers, w.Dial, d.TermRenew)
+	n.hub.Promise = func(ctx context.Context, _ string, token uint64) bool { return n.keeper.Promise(ctx, token) }
+	n.hub.Progress = func(from string, counts map[string]jobs.Counts) {
+		if !n.keeper.Valid() {
+			n.counts.Replace(counts)
+		}
+	}
+	if len(set.Peers) == set.Deployment.Nodes-1 {
+		n.keeper.AllPromise = n.hub.AllPromise
+	}
+	n.cloud = fleet.NewCloud(set.Endpoints.Cloud, pick(4), d.CloudWait, set.Deployment.Cloud.RPS*leaderWrites)
 	return n
 }
 
@@ -66,43 +121,21 @@
 	runtime.GOMAXPROCS(1)
 	debug.SetMemoryLimit(int64(memoryShare * float64(n.d.MemoryBytes)))
 
-	counts := control.NewCounts()
-	gate := &control.Gate{}
-	keeper := term.NewKeeper(n.set.Node, n.store, term.Timing{
-		Lease: n.d.TermLease, Renew: n.d.TermRenew, Safe: n.d.TermSafe,
-		WatchWait: n.d.WatchWait, Retry: n.d.TermRenew,
-	})
-	users := &jobs.API{
-		Settings: n.set, Derived: n.d, Store: n.store, Catalog: n.types, Counts: counts.Get,
-	}
-	reports := &workers.Handler{
-		Answer: gate.Report,
-		Leader: func() string {
-			if l := keeper.Leader(); l != n.set.Node {
-				return l
-			}
-			return ""
-		},
-	}
-	mux := http.NewServeMux()
-	users.Register(mux)
-	reports.Register(mux)
-
-	ln, err := net.Listen("tcp", n.set.Listen)
+	ln, err := n.listen(n.set.Listen)
 	if err != nil {
 		return fmt.Errorf("bind: %w", err)
 	}
+	cluster, err := n.listen(n.set.ClusterListen)
+	if err != nil {
+		return fmt.Errorf("cluster_listen: %w", err)
+	}
 	srv := &http.Server{
-		Handler:           mux,
+		Handler:           n.Handler(),
 		ReadHeaderTimeout: n.d.UserWait * 2,
 		ReadTimeout:       n.d.UserWait * 4,
 		IdleTimeout:       n.d.Cancel * 2,
 		ErrorLog:          slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
 	}
-	deps := control.Deps{
-		Settings: n.set, Derived: n.d, Store: n.store, Cloud: n.cloud,
-		Workers: workers.NewClient(n.d.CallWait), Valid: keeper.Valid, Catalog: n.types, Counts: counts,
-	}
 	slog.Info("serving", "node", n.set.Node, "zone", n.set.Zone, "bind", n.set.Listen)
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error {
@@ -118,17 +151,43 @@
 		defer cancel()
 		return srv.Shutdown(stop)
 	})
-	g.Go(func() error { n.keepCatalog(ctx); return nil })
-	g.Go(func() error {
-		keeper.Run(ctx, func(ctx context.Context, t term.Term) {
+	g.Go(func() error { n.Work(ctx, cluster); return nil })
+	return g.Wait()
+}
+
+// Handler serves users and workers.
+func (n *Node) Handler() http.Handler {
+	mux := http.NewServeMux()
+	users := &jobs.API{Settings: n.set, Derived: n.d, Store: n.store, Catalog: n.types, Counts: n.counts.Get}
+	users.Register(mux)
+	reports := &workers.Handler{Answer: n.gate.Report, Leader: func() string {
+		if l := n.keeper.Leader(); l != n.set.Node {
+			return l
+		}
+		return ""
+	}}
+	reports.Register(mux)
+	return mux
+}
+
+// Work does the long-lived duties until the context ends.
+func (n *Node) Work(ctx context.Context, cluster net.Listener) {
+	deps := control.Deps{
+		Settings: n.set, Derived: n.d, Store: n.store, Cloud: n.cloud,
+		Workers: n.workers, Valid: n.keeper.Valid, Proven: n.keeper.Proven, Publish: n.hub.Publish, Catalog: n.types, Counts: n.counts,
+	}
+	var duties sync.WaitGroup
+	duties.Go(func() { n.hub.Run(ctx, cluster) })
+	duties.Go(func() { n.keepCatalog(ctx) })
+	duties.Go(func() {
+		n.keeper.Run(ctx, func(ctx context.Context, t term.Term) {
 			all := n.set.Deployment.State.WriteRPS
 			n.store.SetWrites(leaderWrites * all)
 			defer n.store.SetWrites(followerWrites * all)
-			gate.Lead(ctx, deps, t)
+			n.gate.Lead(ctx, deps, t)
 		})
-		return nil
 	})
-	return g.Wait()
+	duties.Wait()
 }
 
 func (n *Node) types() []jobs.MachineType {
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,429 @@
+package node
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"ospreyslip/internal/jobs"
+	"ospreyslip/internal/settings"
+	"ospreyslip/internal/standin"
+)
+
+func TestQuietDay(t *testing.T) {
+	inCluster(t, nil, func(c *cluster) {
+		c.submit("perch-0", batch("j-1", 10, 15))
+		c.submit("perch-1", service("j-2", 2))
+		c.withinDone(90*time.Second, "j-1")
+		c.within(30*time.Second, "two replicas", func() bool { return c.on("j-2", 2) == 2 })
+		if got := c.stance("j-2"); got != jobs.Running {
+			t.Errorf("service is %s", got)
+		}
+		c.withdraw("perch-2", "j-2")
+		c.within(10*time.Second, "replicas gone", func() bool { return c.on("j-2", 2) == 0 })
+		if status, _ := c.ask("GET", "perch-1", "/v1/jobs/j-77", nil); status != http.StatusNotFound {
+			t.Errorf("a job that nobody submitted: %d", status)
+		}
+		if status, view := c.ask("POST", "perch-0", "/v1/jobs", asUser(batch("j-1", 10, 15))); status != 200 || view["stance"] != "done" {
+			t.Errorf("repeated submission of a done job: %d %v", status, view)
+		}
+		// A fleet without work is given back.
+		c.within(90*time.Second, "machines returned", func() bool { return len(c.world.Machines()) == 0 })
+		if keys := c.world.State.Keys("machine/"); len(keys) > 0 {
+			t.Errorf("records left: %v", keys)
+		}
+		if keys := c.world.State.Keys("done/"); len(keys) > 0 {
+			t.Errorf("completions of ended jobs left: %v", keys)
+		}
+	})
+}
+
+// A crash of the leader, again and again, must lose no task's work for good,
+// start none twice and keep services up.
+func TestLeaderCrashes(t *testing.T) {
+	inCluster(t, nil, func(c *cluster) {
+		c.submit("perch-0", service("j-1", 2))
+		c.within(40*time.Second, "service up", func() bool { return c.on("j-1", 2) == 2 })
+		c.submit("perch-0", batch("j-2", 12, 20))
+		for range 4 {
+			c.run(7 * time.Second)
+			old := c.leader()
+			c.crash(old)
+			c.within(15*time.Second, "another leader", func() bool { l := c.leader(); return l != "" && l != old })
+			c.start(old)
+			if c.on("j-1", 2) != 2 {
+				t.Error("a take-over cost replicas of the service")
+			}
+		}
+		c.withinDone(120*time.Second, "j-2")
+		if starts := c.world.Starts(); starts != 14 {
+			t.Errorf("%d starts for 14 tasks: take-overs cost work", starts)
+		}
+	})
+}
+
+func TestAllControllersRestart(t *testing.T) {
+	inCluster(t, nil, func(c *cluster) {
+		c.allUp()
+		c.crash(c.names...)
+		c.run(3 * time.Second)
+		for _, n := range c.names {
+			c.start(n)
+		}
+		c.withinDone(120*time.Second, "j-2")
+		if c.on("j-1", 2) != 2 || c.world.Starts() != 8 {
+			t.Errorf("%d starts for 8 tasks", c.world.Starts())
+		}
+	})
+}
+
+// A machine without power is confirmed by a failed call and given back, which
+// frees its tasks before its lease would.
+func TestMachineDies(t *testing.T) {
+	inCluster(t, nil, func(c *cluster) {
+		c.submit("perch-0", service("j-1", 2))
+		c.within(40*time.Second, "service up", func() bool { return c.on("j-1", 2) == 2 })
+		c.world.Kill(c.world.On("j-1/0")[0])
+		c.within(40*time.Second, "replica elsewhere", func() bool { return c.on("j-1", 2) == 2 })
+	})
+}
+
+// A hanging machine may go on at any time within its lease; while the cloud
+// does not answer, only the end of the lease frees its tasks.
+func TestHangingMachine(t *testing.T) {
+	for _, hang := range []time.Duration{8 * time.Second, 15 * time.Second, 30 * time.Second, 90 * time.Second} {
+		t.Run(hang.String(), func(t *testing.T) {
+			inCluster(t, nil, func(c *cluster) {
+				c.submit("perch-0", service("j-1", 2))
+				c.submit("perch-0", batch("j-2", 3, 60))
+				c.within(40*time.Second, "all up", func() bool { return c.on("j-1", 2) == 2 && c.on("j-2", 3) == 3 })
+				c.world.CloudDown(true)
+				w := c.world.Worker(c.world.On("j-1/0")[0])
+				w.Hang(true)
+				c.run(hang)
+				w.Hang(false)
+				c.world.CloudDown(false)
+				c.within(60*time.Second, "service whole", func() bool { return c.on("j-1", 2) == 2 })
+				c.withinDone(200*time.Second, "j-2")
+			})
+		})
+	}
+}
+
+// An order may be executed a minute after it was given up. By then its task
+// has run elsewhere, and the worker must have seen a higher token.
+func TestOrderArrivesLate(t *testing.T) {
+	inCluster(t, nil, func(c *cluster) {
+		c.submit("perch-0", batch("j-1", 2, 5))
+		c.withinDone(60*time.Second, "j-1")
+		c.world.Net.Faults(func(from, to, path string) standin.Fault {
+			if path == "/orders" {
+				return standin.Late
+			}
+			return standin.Deliver
+		})
+		c.submit("perch-0", batch("j-2", 6, 10))
+		c.withinDone(90*time.Second, "j-2")
+		c.world.Net.Faults(nil)
+		c.run(2 * time.Minute)
+		if n := c.world.Starts(); n != 8 {
+			t.Errorf("%d starts for 8 tasks", n)
+		}
+	})
+}
+
+// Answers of the state service get lost: transactions may or may not have been
+// applied, and submissions and cancellations are repeated by their users.
+func TestTransactionOutcomesUnknown(t *testing.T) {
+	inCluster(t, nil, func(c *cluster) {
+		n := 0
+		c.world.Net.Faults(func(from, to, path string) standin.Fault {
+			if path != "/commit" {
+				return standin.Deliver
+			}
+			n++
+			switch n % 4 {
+			case 1:
+				return standin.LoseAnswer
+			case 3:
+				return standin.Late
+			}
+			return standin.Deliver
+		})
+		s := batch("j-1", 8, 10)
+		c.world.Upload(s)
+		accepted := func() bool {
+			status, _ := c.ask("POST", "perch-1", "/v1/jobs", asUser(s))
+			return status == 200 || status == 201
+		}
+		c.within(30*time.Second, "accepted", accepted)
+		c.withinDone(200*time.Second, "j-1")
+		c.world.Net.Faults(nil)
+		c.run(2 * time.Minute)
+		if got := c.stance("j-1"); got != jobs.Done {
+			t.Errorf("done went back to %s", got)
+		}
+		if c.world.Starts() != 8 {
+			t.Errorf("%d starts for 8 tasks", c.world.Starts())
+		}
+	})
+}
+
+// A user cancels while the job's machines cannot be reached: their lease has
+// to end the tasks, and none may start again.
+func TestCancelOnUnreachableMachines(t *testing.T) {
+	inCluster(t, nil, func(c *cluster) {
+		c.submit("perch-0", batch("j-1", 8, 300))
+		c.within(40*time.Second, "running", func() bool { return c.on("j-1", 8) == 8 })
+		cut := c.world.On("j-1/0")[0]
+		c.world.Net.Faults(func(from, to, _ string) standin.Fault {
+			if from == cut || to == cut {
+				return standin.Silent
+			}
+			return standin.Deliver
+		})
+		c.withdraw("perch-2", "j-1")
+		c.run(41 * time.Second)
+		c.world.CheckCancelled()
+		c.world.Net.Faults(nil)
+		c.run(time.Minute)
+		if n := c.on("j-1", 8); n != 0 {
+			t.Errorf("%d tasks of a cancelled job", n)
+		}
+	})
+}
+
+// A leader that the state service refuses must fall silent to workers before
+// another can lead.
+func TestLeaderRefusedByState(t *testing.T) {
+	inCluster(t, nil, func(c *cluster) {
+		c.submit("perch-0", service("j-1", 2))
+		c.within(40*time.Second, "service up", func() bool { return c.on("j-1", 2) == 2 })
+		old := c.leader()
+		c.world.State.RefuseFrom(old, true)
+		c.within(15*time.Second, "another leader", func() bool { l := c.leader(); return l != "" && l != old })
+		c.run(30 * time.Second)
+		if c.on("j-1", 2) != 2 || c.world.Starts() != 2 {
+			t.Errorf("the move cost replicas: %d starts", c.world.Starts())
+		}
+		c.world.State.RefuseFrom(old, false)
+		c.run(10 * time.Second)
+	})
+}
+
+// A team stays within its limit, whatever is asked, and gets its guarantee
+// from what another team has borrowed.
+func TestQuotaAndGuarantee(t *testing.T) {
+	inCluster(t, nil, func(c *cluster) {
+		c.world.Capacity(4) // 16 CPUs in all
+		c.submit("perch-0", batch("j-1", 60, 30))
+		c.within(60*time.Second, "blue has borrowed", func() bool { return c.on("j-1", 60) == 16 })
+		red := batch("j-2", 8, 20)
+		red.Team = "red"
+		c.submit("perch-1", red)
+		c.within(15*time.Second, "red has its guarantee", func() bool { return c.on("j-2", 8) == 8 })
+		over := batch("j-3", 40, 5)
+		over.Team = "red"
+		c.submit("perch-1", over)
+		c.withinDone(5*time.Minute, "j-3")
+	})
+}
+
+// A service goes first: it takes the place of work of lower priority.
+func TestPreemption(t *testing.T) {
+	inCluster(t, nil, func(c *cluster) {
+		c.world.Capacity(2)
+		low := batch("j-1", 8, 200)
+		low.Priority, low.CheckpntS, low.SaveS, low.Spot = jobs.BestEffort, 10, 2, false
+		c.submit("perch-0", low)
+		c.within(40*time.Second, "machines full", func() bool { return c.on("j-1", 8) == 8 })
+		s := service("j-2", 2)
+		s.Spread = false
+		c.submit("perch-0", s)
+		c.within(15*time.Second, "service up", func() bool { return c.on("j-2", 2) == 2 })
+	})
+}
+
+// While no node reaches the state service, the others' promises let the leader
+// keep the workers' leases: running work survives, and nothing new is begun.
+func TestStateOutage(t *testing.T) {
+	inCluster(t, nil, func(c *cluster) {
+		c.allUp()
+		c.world.State.Down(true)
+		if status, _ := c.ask("POST", "perch-0", "/v1/jobs", asUser(batch("j-3", 1, 1))); status != http.StatusServiceUnavailable {
+			t.Errorf("submission during an outage: %d", status)
+		}
+		c.run(time.Minute)
+		c.world.State.Down(false)
+		c.withinDone(30*time.Second, "j-2")
+		if c.on("j-1", 2) != 2 || c.world.Starts() != 8 {
+			t.Errorf("the outage cost work: %d starts for 8 tasks", c.world.Starts())
+		}
+	})
+}
+
+// allUp starts a service and an array and waits until all their tasks run.
+func (c *cluster) allUp() {
+	c.t.Helper()
+	c.submit("perch-0", service("j-1", 2))
+	c.submit("perch-0", batch("j-2", 6, 60))
+	c.within(40*time.Second, "all up", func() bool { return c.on("j-1", 2) == 2 && c.on("j-2", 6) == 6 })
+}
+
+// Without every promise the leader falls silent, and the work ends with the
+// workers' leases. It must not end in two leaders.
+func TestOutageWithoutPromises(t *testing.T) {
+	inCluster(t, nil, func(c *cluster) {
+		c.allUp()
+		old := c.leader()
+		c.world.Net.Faults(func(from, to, path string) standin.Fault {
+			if path == standin.Stream {
+				return standin.Refuse
+			}
+			return standin.Deliver
+		})
+		c.world.State.Down(true)
+		c.run(30 * time.Second)
+		if n := c.on("j-1", 2) + c.on("j-2", 6); n != 0 {
+			t.Errorf("%d tasks outlived their leases under leader %s", n, old)
+		}
+		c.world.State.Down(false)
+		c.world.Net.Faults(nil)
+		c.withinDone(3*time.Minute, "j-2")
+	})
+}
+
+// A follower that restarts during an outage has forgotten its promise. When the
+// outage ends for it before it does for the leader, it waits the promise out.
+func TestRestartAmidPromises(t *testing.T) {
+	inCluster(t, nil, func(c *cluster) {
+		c.allUp()
+		old := c.leader()
+		c.world.State.Down(true)
+		c.run(10 * time.Second)
+		for _, n := range c.names {
+			if n != old {
+				c.crash(n)
+				c.run(300 * time.Millisecond)
+				c.start(n)
+			}
+		}
+		c.world.State.RefuseFrom(old, true)
+		c.world.State.Down(false)
+		c.within(30*time.Second, "another leader", func() bool { l := c.leader(); return l != "" && l != old })
+		c.run(20 * time.Second)
+		c.world.State.RefuseFrom(old, false)
+		c.withinDone(3*time.Minute, "j-2")
+	})
+}
+
+// A user cancels at a node that the state service serves, while it refuses the
+// leader alone: the leader gets no promises and may not keep the job alive.
+func TestCancelWhileLeaderIsRefused(t *testing.T) {
+	inCluster(t, nil, func(c *cluster) {
+		c.allUp()
+		old := c.leader()
+		c.world.State.RefuseFrom(old, true)
+		c.run(time.Second)
+		for _, n := range c.names {
+			if n != old {
+				c.withdraw(n, "j-1")
+				break
+			}
+		}
+		c.within(30*time.Second, "replicas gone", func() bool { return c.on("j-1", 2) == 0 })
+		c.world.State.RefuseFrom(old, false)
+	})
+}
+
+// A leader that no worker reaches any more makes way for one that they reach.
+func TestLeaderLosesWorkers(t *testing.T) {
+	inCluster(t, nil, func(c *cluster) {
+		c.allUp()
+		old := c.leader()
+		c.world.Net.Faults(func(from, to, path string) standin.Fault {
+			if from == old && strings.HasPrefix(to, "m-") || to == old && strings.HasPrefix(from, "m-") {
+				return standin.Silent
+			}
+			return standin.Deliver
+		})
+		c.within(30*time.Second, "another leader", func() bool { l := c.leader(); return l != "" && l != old })
+		c.run(20 * time.Second)
+		if c.on("j-1", 2) != 2 || c.world.Starts() != 8 {
+			t.Errorf("the move cost work: %d starts for 8 tasks", c.world.Starts())
+		}
+		c.world.Net.Faults(nil)
+	})
+}
+
+// Many tasks in one job: completions are kept in chunks that fit a value.
+func TestManyTasks(t *testing.T) {
+	tweak := func(s *settings.Settings) { s.Deployment.State.ValueKB = 1 }
+	inCluster(t, tweak, func(c *cluster) {
+		c.submit("perch-0", batch("j-1", 2500, 0.5))
+		c.run(45 * time.Second)
+		c.crash(c.leader())
+		c.run(20 * time.Second)
+		for _, k := range c.world.State.Keys("") {
+			if n := len(c.world.State.Value(k)); n > 1024 {
+				t.Errorf("%s has %d bytes", k, n)
+			}
+		}
+		c.withinDone(20*time.Minute, "j-1")
+		if n := c.world.Starts(); n < 2500 || n > 2600 {
+			t.Errorf("%d starts for 2500 tasks", n)
+		}
+	})
+}
+
+func TestUserMistakes(t *testing.T) {
+	inCluster(t, nil, func(c *cluster) {
+		change := func(field string, v any) map[string]any {
+			m := asUser(batch("j-9", 2, 5))
+			m[field] = v
+			return m
+		}
+		drop := func(field string) map[string]any {
+			m := asUser(batch("j-9", 2, 5))
+			delete(m, field)
+			return m
+		}
+		for _, tc := range []struct {
+			name string
+			body any
+			want int
+		}{
+			{"not an object", []int{1}, 400},
+			{"bad id", change("id", "job-9"), 400},
+			{"id is a number", change("id", 9), 400},
+			{"no tasks", change("talons", 0), 400},
+			{"too many tasks", change("talons", 100001), 400},
+			{"half a task", change("talons", 1.5), 400},
+			{"negative amount", change("vcpus", -1), 400},
+			{"null flag", change("scatter", nil), 400},
+			{"missing class", drop("flock"), 400},
+			{"unknown shape", change("shape", "circle"), 400},
+			{"unknown priority", change("rank", "highest"), 400},
+			{"types not a list", change("perches", "c4"), 400},
+			{"null in types", change("perches", []any{nil}), 400},
+			{"body too large", change("plumage", strings.Repeat("x", 70000)), 400},
+			{"unknown team", change("crew", "green"), 422},
+			{"fits no machine", change("vcpus", 5), 422},
+			{"fits no such type", change("perches", []string{"g8"}), 422},
+			{"unknown field", change("colour", "red"), 201},
+			{"again, null allowed", change("duskS", nil), 200},
+		} {
+			if status, view := c.ask("POST", "perch-0", "/v1/jobs", tc.body); status != tc.want {
+				t.Errorf("%s: %d %v, want %d", tc.name, status, view, tc.want)
+			}
+		}
+		big := service("j-10", 9) // 18 CPUs of a limit of 16
+		if status, _ := c.ask("POST", "perch-0", "/v1/jobs", asUser(big)); status != 422 {
+			t.Errorf("a service beyond its team's limit: %d", status)
+		}
+		if status, _ := c.ask("DELETE", "perch-0", "/v1/jobs/j-9", nil); status != 405 {
+			t.Errorf("unknown method: %d", status)
+		}
+	})
+}
--- /dev/null
+++ b/internal/peer/message.go
@@ -0,0 +1,112 @@
+package peer
+
+import (
+	"errors"
+	"fmt"
+
+	flatbuffers "github.com/google/flatbuffers/go"
+
+	"ospreyslip/internal/jobs"
+	"ospreyslip/internal/peer/wire"
+)
+
+// message is one decoded message; one of its parts is set.
+type message struct {
+	from     string
+	progress map[string]jobs.Counts
+	ask      *ask
+	promise  *promise
+}
+
+type ask struct{ number, token uint64 }
+
+type promise struct {
+	number uint64
+	given  bool
+}
+
+func finish(b *flatbuffers.Builder, from string, kind wire.Body, body flatbuffers.UOffsetT) []byte {
+	name := b.CreateString(from)
+	wire.MessageStart(b)
+	wire.MessageAddFrom(b, name)
+	wire.MessageAddBodyType(b, kind)
+	wire.MessageAddBody(b, body)
+	b.FinishSizePrefixed(wire.MessageEnd(b))
+	return b.FinishedBytes()
+}
+
+func encodeProgress(from string, counts map[string]jobs.Counts) []byte {
+	b := flatbuffers.NewBuilder(64 * (1 + len(counts)))
+	rows := make([]flatbuffers.UOffsetT, 0, len(counts))
+	for id, c := range counts {
+		key := b.CreateString(id)
+		wire.JobCountsStart(b)
+		wire.JobCountsAddId(b, key)
+		wire.JobCountsAddDone(b, uint32(c.Done))
+		wire.JobCountsAddRunning(b, uint32(c.Running))
+		rows = append(rows, wire.JobCountsEnd(b))
+	}
+	wire.ProgressStartJobsVector(b, len(rows))
+	for _, r := range rows {
+		b.PrependUOffsetT(r)
+	}
+	vector := b.EndVector(len(rows))
+	wire.ProgressStart(b)
+	wire.ProgressAddJobs(b, vector)
+	return finish(b, from, wire.BodyProgress, wire.ProgressEnd(b))
+}
+
+func encodeAsk(from string, a ask) []byte {
+	b := flatbuffers.NewBuilder(128)
+	wire.AskStart(b)
+	wire.AskAddNumber(b, a.number)
+	wire.AskAddToken(b, a.token)
+	return finish(b, from, wire.BodyAsk, wire.AskEnd(b))
+}
+
+func encodePromise(from string, p promise) []byte {
+	b := flatbuffers.NewBuilder(128)
+	wire.PromiseStart(b)
+	wire.PromiseAddNumber(b, p.number)
+	wire.PromiseAddGiven(b, p.given)
+	return finish(b, from, wire.BodyPromise, wire.PromiseEnd(b))
+}
+
+// decode reads a message without its size prefix. FlatBuffers has no check of
+// its own in Go: what is out of bounds panics, and that is turned into an error.
+func decode(raw []byte) (m message, err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = fmt.Errorf("malformed message: %v", r)
+		}
+	}()
+	in := wire.GetRootAsMessage(raw, 0)
+	m.from = string(in.From())
+	var body flatbuffers.Table
+	if !in.Body(&body) {
+		return m, errors.New("message without a body")
+	}
+	switch in.BodyType() {
+	case wire.BodyProgress:
+		var p wire.Progress
+		p.Init(body.Bytes, body.Pos)
+		m.progress = make(map[string]jobs.Counts, p.JobsLength())
+		var row wire.JobCounts
+		for i := range p.JobsLength() {
+			if p.Jobs(&row, i) {
+				m.progress[string(row.Id())] = jobs.Counts{Done: int(row.Done()), Running: int(row.Running())}
+			}
+		}
+	case wire.BodyAsk:
+		var a wire.Ask
+		a.Init(body.Bytes, body.Pos)
+		m.ask = &ask{a.Number(), a.Token()}
+	case wire.BodyPromise:
+		var p wire.Promise
+		p.Init(body.Bytes, body.Pos)
+		m.promise = &promise{p.Number(), p.Given()}
+	default:
+		return m, fmt.Errorf("unknown kind of message %d", in.BodyType())
+	}
+	return m, nil
+}
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,249 @@
+// Package peer is what passes between controllers: FlatBuffers messages, each
+// behind its size, over one connection in each direction.
+package peer
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"ospreyslip/internal/jobs"
+	"ospreyslip/internal/settings"
+)
+
+// maxMessage bounds what one message may make this node hold in memory.
+const maxMessage = 1 << 20
+
+// Dial opens a connection to another controller.
+type Dial func(ctx context.Context, addr string) (net.Conn, error)
+
+// Hub speaks to all other controllers.
+type Hub struct {
+	self  string
+	dial  Dial
+	retry time.Duration
+	links map[string]*link
+
+	// Progress takes in the leader's counts.
+	Progress func(from string, counts map[string]jobs.Counts)
+	// Promise decides on an ask: whether this node keeps from taking the term.
+	Promise func(ctx context.Context, from string, token uint64) bool
+
+	mu      sync.Mutex
+	number  uint64
+	waiting map[uint64]chan bool
+}
+
+type link struct {
+	addr string
+	out  chan []byte
+}
+
+// NewHub makes a hub. A connection that has failed is tried again after retry.
+func NewHub(self string, peers []settings.Peer, dial Dial, retry time.Duration) *Hub {
+	h := &Hub{self: self, dial: dial, retry: retry, links: map[string]*link{}, waiting: map[uint64]chan bool{}}
+	for _, p := range peers {
+		h.links[p.Node] = &link{addr: p.Addr, out: make(chan []byte, 4)}
+	}
+	return h
+}
+
+// Run keeps the connections until the context ends.
+func (h *Hub) Run(ctx context.Context, ln net.Listener) {
+	var conns sync.WaitGroup
+	for _, l := range h.links {
+		conns.Go(func() { h.keep(ctx, l) })
+	}
+	conns.Go(func() {
+		<-ctx.Done()
+		ln.Close()
+	})
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				break
+			}
+			slog.Debug("peer not accepted", "reason", err)
+			h.pause(ctx)
+			continue
+		}
+		conns.Go(func() { h.serve(ctx, c) })
+	}
+	conns.Wait()
+}
+
+func (h *Hub) pause(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(h.retry):
+	}
+}
+
+// Publish sends the counts to all others. One that does not keep up misses
+// some; each message holds all that matters.
+func (h *Hub) Publish(counts map[string]jobs.Counts) {
+	raw := encodeProgress(h.self, counts)
+	for _, l := range h.links {
+		select {
+		case l.out <- raw:
+		default:
+		}
+	}
+}
+
+// AllPromise asks every other controller and tells whether all have promised.
+func (h *Hub) AllPromise(ctx context.Context, token uint64) bool {
+	replies := make(chan bool, len(h.links))
+	for _, l := range h.links {
+		h.mu.Lock()
+		h.number++
+		number := h.number
+		h.waiting[number] = replies
+		h.mu.Unlock()
+		defer func() {
+			h.mu.Lock()
+			delete(h.waiting, number)
+			h.mu.Unlock()
+		}()
+		select {
+		case l.out <- encodeAsk(h.self, ask{number, token}):
+		default:
+			return false // a queue that is stuck will bring no answer in time
+		}
+	}
+	for range h.links {
+		select {
+		case given := <-replies:
+			if !given {
+				return false
+			}
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
+// keep holds the connection on which this node speaks.
+func (h *Hub) keep(ctx context.Context, l *link) {
+	for ctx.Err() == nil {
+		try, cancel := context.WithTimeout(ctx, 4*h.retry)
+		c, err := h.dial(try, l.addr)
+		cancel()
+		if err != nil {
+			h.drain(l)
+			h.pause(ctx)
+			continue
+		}
+		h.speak(ctx, c, l)
+	}
+}
+
+// drain drops what was meant for a connection that is gone: it is out of date
+// by the time there is another.
+func (h *Hub) drain(l *link) {
+	for {
+		select {
+		case <-l.out:
+		default:
+			return
+		}
+	}
+}
+
+func (h *Hub) speak(ctx context.Context, c net.Conn, l *link) {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	defer stop()
+	defer c.Close()
+	defer cancel()
+	go func() {
+		defer cancel()
+		if err := h.read(c, func(m message) error {
+			if m.promise == nil {
+				return errors.New("unexpected message")
+			}
+			h.mu.Lock()
+			reply := h.waiting[m.promise.number]
+			delete(h.waiting, m.promise.number)
+			h.mu.Unlock()
+			if reply != nil {
+				reply <- m.promise.given
+			}
+			return nil
+		}); err != nil {
+			slog.Debug("peer connection ended", "peer", l.addr, "reason", err)
+		}
+	}()
+	for {
+		select {
+		case <-ctx.Done():
+			h.drain(l)
+			return
+		case raw := <-l.out:
+			_ = c.SetWriteDeadline(time.Now().Add(4 * h.retry))
+			if _, err := c.Write(raw); err != nil {
+				h.drain(l)
+				return
+			}
+		}
+	}
+}
+
+// serve answers on a connection on which another node speaks.
+func (h *Hub) serve(ctx context.Context, c net.Conn) {
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	defer stop()
+	defer c.Close()
+	err := h.read(c, func(m message) error {
+		if _, known := h.links[m.from]; !known {
+			return fmt.Errorf("unknown node %q", m.from)
+		}
+		switch {
+		case m.progress != nil:
+			h.Progress(m.from, m.progress)
+		case m.ask != nil:
+			given := h.Promise(ctx, m.from, m.ask.token)
+			_ = c.SetWriteDeadline(time.Now().Add(4 * h.retry))
+			_, err := c.Write(encodePromise(h.self, promise{m.ask.number, given}))
+			return err
+		}
+		return nil
+	})
+	if err != nil && ctx.Err() == nil {
+		slog.Debug("peer connection ended", "reason", err)
+	}
+}
+
+func (h *Hub) read(c net.Conn, take func(message) error) error {
+	r := bufio.NewReader(c)
+	var size [4]byte
+	for {
+		if _, err := io.ReadFull(r, size[:]); err != nil {
+			return err
+		}
+		n := binary.LittleEndian.Uint32(size[:])
+		if n > maxMessage {
+			return fmt.Errorf("message of %d bytes", n)
+		}
+		raw := make([]byte, n)
+		if _, err := io.ReadFull(r, raw); err != nil {
+			return err
+		}
+		m, err := decode(raw)
+		if err != nil {
+			return err
+		}
+		if err := take(m); err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/net.go
@@ -0,0 +1,218 @@
+// Package standin plays the outside world in one process, for tests: the state
+// service, the cloud, workers and the network between them, as the protocol
+// describes them. Time is whatever the test's bubble says it is.
+package standin
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Fault is what happens to a message.
+type Fault int
+
+// The faults.
+const (
+	Deliver    Fault = iota
+	Refuse           // the connection is refused
+	Silent           // nothing arrives and nothing comes back
+	LoseAnswer       // it is executed, but the answer never comes
+	Late             // it is executed after Net.Lateness, when nobody waits any more
+)
+
+// Net carries requests between named hosts.
+type Net struct {
+	Lateness time.Duration
+
+	mu      sync.Mutex
+	hosts   map[string]http.Handler
+	names   map[string]string // address to host
+	streams map[string]*listener
+	rule    func(from, to, path string) Fault
+	tasks   sync.WaitGroup
+}
+
+// NewNet makes a network without hosts.
+func NewNet() *Net {
+	return &Net{hosts: map[string]http.Handler{}, names: map[string]string{}, streams: map[string]*listener{}, Lateness: time.Minute}
+}
+
+// Attach puts a host on an address; a nil handler takes it off.
+func (n *Net) Attach(host, addr string, h http.Handler) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.names[addr] = host
+	if h == nil {
+		delete(n.hosts, addr)
+		return
+	}
+	n.hosts[addr] = h
+}
+
+// Faults sets the rule that decides each message's fate; nil delivers all.
+func (n *Net) Faults(rule func(from, to, path string) Fault) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.rule = rule
+}
+
+// From returns the network as one host sees it.
+func (n *Net) From(host string) http.RoundTripper { return &link{n, host} }
+
+// listener takes the stream connections of a host.
+type listener struct {
+	net   *Net
+	addr  string
+	conns chan net.Conn
+	done  chan struct{}
+	once  sync.Once
+}
+
+// Listen opens an address for streams.
+func (n *Net) Listen(host, addr string) net.Listener {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l := &listener{net: n, addr: addr, conns: make(chan net.Conn), done: make(chan struct{})}
+	n.names[addr] = host
+	n.streams[addr] = l
+	return l
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *listener) Close() error {
+	l.once.Do(func() {
+		close(l.done)
+		l.net.mu.Lock()
+		defer l.net.mu.Unlock()
+		if l.net.streams[l.addr] == l {
+			delete(l.net.streams, l.addr)
+		}
+	})
+	return nil
+}
+
+func (l *listener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// Stream is the path under which fault rules see messages between nodes.
+const Stream = "stream"
+
+// Dial opens a stream from a host. Each write is one message to the fault rule:
+// what is not delivered is dropped, as a cut would hold it for ever.
+func (n *Net) Dial(ctx context.Context, from, addr string) (net.Conn, error) {
+	n.mu.Lock()
+	l, to := n.streams[addr], n.names[addr]
+	n.mu.Unlock()
+	if l == nil || n.fate(from, to, Stream) != Deliver {
+		return nil, dialError(syscall.ECONNREFUSED)
+	}
+	here, there := net.Pipe()
+	select {
+	case l.conns <- &stream{there, n, to, from}:
+		return &stream{here, n, from, to}, nil
+	case <-l.done:
+	case <-ctx.Done():
+	}
+	return nil, dialError(syscall.ECONNREFUSED)
+}
+
+type stream struct {
+	net.Conn
+	net      *Net
+	from, to string
+}
+
+func (s *stream) Write(p []byte) (int, error) {
+	if s.net.fate(s.from, s.to, Stream) != Deliver {
+		return len(p), nil
+	}
+	return s.Conn.Write(p)
+}
+
+func (n *Net) fate(from, to, path string) Fault {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.rule == nil {
+		return Deliver
+	}
+	return n.rule(from, to, path)
+}
+
+// Wait waits for messages that are still being executed.
+func (n *Net) Wait() { n.tasks.Wait() }
+
+type link struct {
+	net  *Net
+	from string
+}
+
+func dialError(err error) error { return &net.OpError{Op: "dial", Net: "tcp", Err: err} }
+
+// RoundTrip implements http.RoundTripper.
+func (l *link) RoundTrip(req *http.Request) (*http.Response, error) {
+	var body []byte
+	if req.Body != nil {
+		var err error
+		if body, err = io.ReadAll(req.Body); err != nil {
+			return nil, err
+		}
+		req.Body.Close()
+	}
+	addr := req.URL.Host
+	l.net.mu.Lock()
+	h, to := l.net.hosts[addr], l.net.names[addr]
+	l.net.mu.Unlock()
+	fault := l.net.fate(l.from, to, req.URL.Path)
+	ctx := req.Context()
+	switch {
+	case fault == Silent:
+		<-ctx.Done()
+		return nil, ctx.Err()
+	case h == nil || fault == Refuse:
+		return nil, dialError(syscall.ECONNREFUSED)
+	}
+	// The other side goes on when the caller gives up.
+	inner := req.Clone(context.WithoutCancel(ctx))
+	inner.RequestURI = req.URL.RequestURI()
+	inner.Body = io.NopCloser(bytes.NewReader(body))
+	inner.RemoteAddr = l.from
+	answer := make(chan *http.Response, 1)
+	l.net.tasks.Go(func() {
+		if fault == Late {
+			time.Sleep(l.net.Lateness)
+		}
+		time.Sleep(time.Millisecond)
+		rec := httptest.NewRecorder()
+		h.ServeHTTP(rec, inner)
+		time.Sleep(time.Millisecond)
+		answer <- rec.Result()
+	})
+	if fault == LoseAnswer || fault == Late {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	select {
+	case resp := <-answer:
+		if resp.StatusCode == 0 {
+			return nil, errors.New("no answer")
+		}
+		return resp, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,307 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"ospreyslip/internal/jobs"
+	"ospreyslip/internal/workers"
+)
+
+// Pace is what all workers have in common.
+type Pace struct {
+	Report, Lease, Fetch time.Duration
+	Nodes                []string          // names, in the order in which they are tried
+	Addrs                map[string]string // where they listen
+}
+
+type running struct {
+	workers.Task
+	since time.Time
+	saves time.Time
+}
+
+// Worker plays one machine.
+type Worker struct {
+	world *World
+	pace  Pace
+	rep   workers.Report // but for its tasks
+	kind  jobs.MachineType
+
+	mu       sync.Mutex
+	tasks    []*running
+	images   map[string]bool
+	answered time.Time // when the last report that got an answer was sent
+	hung     bool
+	dead     bool
+	cancel   context.CancelFunc
+	nudge    chan struct{}
+}
+
+func (w *Worker) run(ctx context.Context) {
+	client := &http.Client{Transport: w.world.Net.From(w.rep.Machine), Timeout: 4 * time.Second}
+	at := 0
+	for ctx.Err() == nil {
+		next := w.reportOnce(client, at)
+		pause := w.pace.Report
+		if next != at {
+			at, pause = next, time.Second
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		case <-w.nudge:
+			time.Sleep(w.pace.Report / 3)
+		}
+	}
+}
+
+// reportOnce returns the node to report to next.
+func (w *Worker) reportOnce(client *http.Client, at int) int {
+	w.mu.Lock()
+	if w.hung || w.dead {
+		w.mu.Unlock()
+		return at
+	}
+	w.step()
+	rep := w.report()
+	w.mu.Unlock()
+	sent, other := time.Now(), (at+1)%len(w.pace.Nodes)
+	raw, _ := json.Marshal(rep)
+	resp, err := client.Post("http://"+w.pace.Addrs[w.pace.Nodes[at]]+"/v1/report", "application/json", bytes.NewReader(raw))
+	if err != nil {
+		return other
+	}
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(resp.Body)
+	switch resp.StatusCode {
+	case http.StatusOK:
+	case http.StatusMisdirectedRequest:
+		var to workers.Redirect
+		_ = json.Unmarshal(body, &to)
+		for i, n := range w.pace.Nodes {
+			if n == to.ReportTo && i != at {
+				return i
+			}
+		}
+		return other
+	default:
+		return other
+	}
+	var answer workers.Answer
+	if json.Unmarshal(body, &answer) != nil {
+		return at
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.step()
+	if w.dead || w.hung || w.rep.Session != rep.Session || answer.Token < w.rep.Token || answer.Token == 0 {
+		return at
+	}
+	w.see(answer.Token)
+	w.answered = sent
+	w.execute(answer.Calls)
+	return at
+}
+
+func (w *Worker) see(token uint64) {
+	if token > w.rep.Token {
+		w.rep.Token = token
+		w.poke()
+	}
+}
+
+func (w *Worker) poke() {
+	select {
+	case w.nudge <- struct{}{}:
+	default:
+	}
+}
+
+// report raises the counter, as every report and every answer does.
+func (w *Worker) report() workers.Report {
+	w.rep.Seq++
+	r := w.rep
+	r.Tasks = []workers.Task{}
+	for _, t := range w.tasks {
+		r.Tasks = append(r.Tasks, t.Task)
+	}
+	return r
+}
+
+// step brings the tasks up to now, and ends them with the lease.
+func (w *Worker) step() {
+	w.expire()
+	now := time.Now()
+	for _, t := range w.tasks {
+		id, n, _ := workers.SplitTask(t.Task.Task)
+		job := w.world.job(id)
+		if t.State == workers.Fetching && (w.images[job.Image] || now.Sub(t.since) >= w.pace.Fetch) {
+			w.images[job.Image] = true
+			t.State, t.since = workers.Running, now
+			w.world.started(w, t.Task)
+			w.poke()
+		}
+		if t.State == workers.Running && job.Shape == jobs.Batch && (w.world.wasDone(id, n) || now.Sub(t.since).Seconds() >= job.EstimateS) {
+			w.end(t, workers.CauseDone)
+		}
+		if t.State == workers.Saving && !now.Before(t.saves) {
+			t.Saved = true
+			w.end(t, workers.CauseStopped)
+		}
+	}
+}
+
+// expire ends the tasks with the lease.
+func (w *Worker) expire() {
+	now := time.Now()
+	if now.Sub(w.answered) <= w.pace.Lease {
+		return
+	}
+	for _, t := range w.tasks {
+		w.world.left(w, t.Task, "lease")
+	}
+	w.tasks, w.answered = nil, now
+	w.rep.Session++
+	w.poke()
+}
+
+func (w *Worker) end(t *running, cause string) {
+	if t.State == workers.Running || t.State == workers.Saving {
+		w.world.left(w, t.Task, cause)
+	}
+	t.State, t.Cause = workers.Ended, cause
+	w.poke()
+}
+
+func (w *Worker) execute(calls []workers.Call) {
+	for _, c := range calls {
+		var t *running
+		for _, have := range w.tasks {
+			if have.Task.Task == c.Task && have.Attempt == c.Attempt {
+				t = have
+			}
+		}
+		switch c.Op {
+		case workers.OpRun:
+			if t == nil {
+				w.start(c)
+			}
+		case workers.OpStop:
+			if t != nil && t.State != workers.Ended {
+				id, _, _ := workers.SplitTask(c.Task)
+				job := w.world.job(id)
+				if t.State == workers.Running && job.CheckpntS > 0 && c.GraceS != nil && *c.GraceS >= job.SaveS {
+					t.State = workers.Saving
+					t.saves = time.Now().Add(time.Duration(job.SaveS * float64(time.Second)))
+					continue
+				}
+				w.end(t, workers.CauseStopped)
+			}
+		case workers.OpClear:
+			for i, have := range w.tasks {
+				if have == t && t.State == workers.Ended {
+					w.tasks = append(w.tasks[:i], w.tasks[i+1:]...)
+					break
+				}
+			}
+		}
+	}
+}
+
+func (w *Worker) start(c workers.Call) {
+	id, n, ok := workers.SplitTask(c.Task)
+	job := w.world.job(id)
+	t := &running{Task: workers.Task{Task: c.Task, Attempt: c.Attempt, State: workers.Fetching}, since: time.Now()}
+	w.tasks = append(w.tasks, t)
+	cpus := 0.0
+	for _, have := range w.tasks {
+		if have.State != workers.Ended {
+			hid, _, _ := workers.SplitTask(have.Task.Task)
+			if j := w.world.job(hid); j != nil {
+				cpus += j.CPUs
+			}
+			if have != t && have.Task.Task == c.Task {
+				t.State, t.Cause = workers.Ended, workers.CauseBusy
+				return
+			}
+		}
+	}
+	switch {
+	case !ok || job == nil || n >= job.Tasks:
+		t.State, t.Cause = workers.Ended, workers.CauseUnknown
+	case cpus > w.kind.CPUs:
+		t.State, t.Cause = workers.Ended, workers.CauseNoRoom
+	}
+	w.poke()
+}
+
+// ServeHTTP takes orders and inspections.
+func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for w.hung && !w.dead {
+		w.mu.Unlock()
+		time.Sleep(w.pace.Report)
+		w.mu.Lock()
+	}
+	if w.dead {
+		rw.WriteHeader(0 + http.StatusBadGateway)
+		return
+	}
+	w.step()
+	status := http.StatusOK
+	if r.URL.Path == "/orders" {
+		var o workers.Order
+		_ = json.NewDecoder(r.Body).Decode(&o)
+		if o.Token < w.rep.Token || o.Session != w.rep.Session {
+			status = http.StatusConflict
+		} else {
+			w.see(o.Token)
+			w.execute(o.Calls)
+			w.step()
+		}
+	}
+	send(rw, status, w.report())
+}
+
+// Hang stops a machine, or lets it go on. It can go on within its lease only.
+func (w *Worker) Hang(on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.hung = on
+	if !on {
+		w.step()
+		return
+	}
+	time.AfterFunc(time.Until(w.answered.Add(w.pace.Lease+time.Millisecond)), func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.hung {
+			w.expire()
+		}
+	})
+}
+
+// kill takes the machine's power.
+func (w *Worker) kill() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.dead {
+		return
+	}
+	for _, t := range w.tasks {
+		w.world.left(w, t.Task, "machine gone")
+	}
+	w.dead, w.tasks = true, nil
+	w.cancel()
+	w.world.Net.Attach(w.rep.Machine, w.rep.Addr, nil)
+}
+
+func addrOf(i int) string { return fmt.Sprintf("10.1.%d.%d:9000", i/200, i%200+1) }
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -70,19 +70,14 @@
 // Budget is this node's part of what the state service takes from all.
 type Budget struct{ Requests, Writes float64 }
 
-// New makes a client. Each request waits for at most wait.
-func New(addr string, wait time.Duration, b Budget) *Client {
+// New makes a client on a transport. Each request waits for at most wait.
+func New(addr string, rt http.RoundTripper, wait time.Duration, b Budget) *Client {
 	return &Client{
 		base:   "http://" + addr,
 		wait:   wait,
 		reqs:   rate.NewLimiter(rate.Limit(b.Requests), max(1, int(b.Requests))),
 		writes: rate.NewLimiter(rate.Limit(b.Writes), max(1, int(b.Writes))),
-		http: &http.Client{Transport: &http.Transport{
-			MaxIdleConnsPerHost: 16,
-			MaxConnsPerHost:     32,
-			IdleConnTimeout:     time.Minute,
-			DisableCompression:  true,
-		}},
+		http:   &http.Client{Transport: rt},
 	}
 }
 
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -43,7 +43,11 @@
 
 // Timing is how long the lease lasts and how it is kept.
 type Timing struct {
-	Lease, Renew, Safe, WatchWait, Retry time.Duration
+	Lease     time.Duration // of the term and of a promise
+	Renew     time.Duration // between two renewals
+	Safe      time.Duration // how long after its request was sent a renewal, or a promise, counts
+	WatchWait time.Duration
+	Retry     time.Duration
 }
 
 // Keeper campaigns for the term and keeps it.
@@ -54,14 +58,24 @@
 	timing Timing
 	base   time.Time
 	until  atomic.Int64 // holds the term until base+until
+	proven atomic.Int64 // all others were without the state service at base+proven
 	holder atomic.Pointer[Holder]
-	// Eligible says whether this node should campaign; nil means always.
-	Eligible func() bool
+	vow    vow
+
+	// AllPromise asks all other nodes for a promise; nil means that there are
+	// none to be had.
+	AllPromise func(ctx context.Context, token uint64) bool
 }
 
 // NewKeeper makes a keeper for a node.
 func NewKeeper(node string, store *state.Client, timing Timing) *Keeper {
-	return &Keeper{node: node, life: rand.Text(), store: store, timing: timing, base: time.Now()}
+	now := time.Now()
+	k := &Keeper{node: node, life: rand.Text(), store: store, timing: timing, base: now}
+	// An earlier life of this node may have promised something just before
+	// its end. Nobody remembers, so that this one waits it out.
+	k.vow.until = now.Add(timing.Lease)
+	k.vow.fromEarlier = true
+	return k
 }
 
 // Valid tells whether this node holds the term at this moment, by its own
@@ -70,6 +84,15 @@
 	return time.Since(k.base) < time.Duration(k.until.Load())
 }
 
+// Proven returns when, at the latest known moment, no node could reach the
+// state service. It is the zero time if that was never so.
+func (k *Keeper) Proven() time.Time {
+	if p := k.proven.Load(); p > 0 {
+		return k.base.Add(time.Duration(p))
+	}
+	return time.Time{}
+}
+
 // Leader names the node that held the term when last seen, or is empty.
 func (k *Keeper) Leader() string {
 	if h := k.holder.Load(); h != nil {
@@ -81,27 +104,35 @@
 // Run campaigns until the context ends. For each term it calls lead, whose
 // context ends with the term, and waits for its return before going on.
 func (k *Keeper) Run(ctx context.Context, lead func(context.Context, Term)) {
+	var standDown time.Time
 	for ctx.Err() == nil {
 		holder, mark, tokenMark, token, rev, err := k.read(ctx)
 		if err != nil {
 			slog.Debug("term not read", "reason", err)
-			k.holder.Store(nil)
 			k.pause(ctx)
 			continue
 		}
 		k.holder.Store(holder)
 		// Our own key from an earlier life is free to take: its holder is gone.
-		if holder != nil && holder.Node != k.node || k.Eligible != nil && !k.Eligible() {
-			k.follow(ctx, rev)
+		own := holder != nil && holder.Node == k.node
+		if holder != nil && !own {
+			k.follow(ctx, rev, k.timing.WatchWait)
 			continue
 		}
-		t, lease, sent, err := k.take(ctx, mark, tokenMark, token)
+		now := time.Now()
+		if left := max(standDown.Sub(now), k.vow.left(now, own || tokenMark == 0)); left > 0 {
+			k.follow(ctx, rev, min(left, k.timing.WatchWait))
+			continue
+		}
+		t, lease, sent, err := k.take(ctx, mark, tokenMark, token, own || tokenMark == 0)
 		if err != nil {
 			slog.Debug("term not taken", "reason", err)
 			k.pause(ctx)
 			continue
 		}
-		k.hold(ctx, t, lease, sent, lead)
+		if k.hold(ctx, t, lease, sent, lead) == resigned {
+			standDown = time.Now().Add(2 * k.timing.Lease)
+		}
 	}
 }
 
@@ -128,8 +159,8 @@
 }
 
 // follow waits until something about the term changes.
-func (k *Keeper) follow(ctx context.Context, after uint64) {
-	_, changes, err := k.store.Watch(ctx, prefix, after, k.timing.WatchWait)
+func (k *Keeper) follow(ctx context.Context, after uint64, wait time.Duration) {
+	_, changes, err := k.store.Watch(ctx, prefix, after, wait)
 	if err != nil && !errors.Is(err, state.ErrCompacted) {
 		k.pause(ctx)
 		return
@@ -141,7 +172,7 @@
 	}
 }
 
-func (k *Keeper) take(ctx context.Context, mark, tokenMark, token uint64) (Term, uint64, time.Time, error) {
+func (k *Keeper) take(ctx context.Context, mark, tokenMark, token uint64, first bool) (Term, uint64, time.Time, error) {
 	sent := time.Now()
 	lease, err := k.store.Grant(ctx, k.timing.Lease)
 	if err != nil {
@@ -150,9 +181,16 @@
 	h := Holder{Node: k.node, Life: k.life, Token: token + 1}
 	value, _ := json.Marshal(h)
 	next, _ := json.Marshal(h.Token)
+	if !k.vow.campaign(time.Now(), first, token) {
+		_ = k.store.Revoke(ctx, lease)
+		return Term{}, 0, sent, errors.New("promised not to")
+	}
 	rev, failed, err := k.store.Commit(ctx,
 		[]state.Guard{{Key: HolderKey, Mark: mark}, {Key: TokenKey, Mark: tokenMark}},
 		[]state.Write{{Set: HolderKey, Value: value, Lease: lease}, {Set: TokenKey, Value: next}})
+	if !errors.Is(err, state.ErrUnknown) {
+		k.vow.settled()
+	}
 	if err == nil && len(failed) == 0 {
 		return Term{Token: h.Token, Mark: rev, TokenMark: rev, Since: time.Now()}, lease, sent, nil
 	}
@@ -165,11 +203,14 @@
 	return Term{}, 0, sent, errors.Join(err, fmt.Errorf("guards failed: %v", failed))
 }
 
-// hold renews the lease until that fails for too long.
-func (k *Keeper) hold(ctx context.Context, t Term, lease uint64, sent time.Time, lead func(context.Context, Term)) {
+// resigned is why a term ends when lead returns by itself.
+const resigned = "resigned"
+
+// hold keeps the term until it can no longer be proven, and tells why it ended.
+func (k *Keeper) hold(ctx context.Context, t Term, lease uint64, sent time.Time, lead func(context.Context, Term)) (reason string) {
 	k.extend(sent)
 	if !k.Valid() {
-		return
+		return "taken too slowly"
 	}
 	self := &Holder{Node: k.node, Life: k.life, Token: t.Token}
 	k.holder.Store(self)
@@ -180,7 +221,7 @@
 		defer close(done)
 		lead(leadCtx, t)
 	}()
-	reason := k.renew(leadCtx, lease, done)
+	reason = k.renew(leadCtx, lease, t.Token, done)
 	k.until.Store(0)
 	k.holder.CompareAndSwap(self, nil)
 	stop()
@@ -189,39 +230,90 @@
 	drop, cancel := context.WithTimeout(context.WithoutCancel(ctx), k.timing.Retry)
 	defer cancel()
 	_ = k.store.Revoke(drop, lease)
+	return reason
 }
 
-func (k *Keeper) renew(ctx context.Context, lease uint64, done <-chan struct{}) (reason string) {
+// renew keeps the lease. While the state service does not answer, promises of
+// all other nodes take its place: see docs/design.md for why that is safe.
+func (k *Keeper) renew(ctx context.Context, lease, token uint64, done <-chan struct{}) (reason string) {
 	tick := time.NewTicker(k.timing.Renew)
 	defer tick.Stop()
+	type outcome struct {
+		sent time.Time
+		err  error
+	}
+	renewals, promises := make(chan outcome, 1), make(chan outcome, 1)
+	renewing, asking := false, false
+	good := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return "shutting down"
 		case <-done:
-			return "resigned"
+			return resigned
+		case o := <-renewals:
+			renewing = false
+			switch {
+			case o.err == nil:
+				good = o.sent
+				k.extend(o.sent)
+			case errors.Is(o.err, state.ErrNoLease):
+				return "lease ended"
+			default:
+				slog.Debug("renewal failed", "term", token, "reason", o.err)
+			}
+		case o := <-promises:
+			asking = false
+			if o.err == nil {
+				k.extend(o.sent)
+				k.proven.Store(int64(o.sent.Sub(k.base)))
+			}
 		case <-tick.C:
 		}
-		sent := time.Now()
-		left := time.Duration(k.until.Load()) - time.Since(k.base)
+		now := time.Now()
+		left := time.Duration(k.until.Load()) - now.Sub(k.base)
 		if left <= 0 {
-			return "renewals failed"
+			return "neither renewed nor promised"
+		}
+		// A try may not outlast the term, so that its end is noticed in time.
+		if !renewing && now.Sub(good) >= k.timing.Renew*9/10 {
+			renewing = true
+			go func() {
+				try, cancel := context.WithTimeout(ctx, min(left, 2*k.timing.Renew))
+				defer cancel()
+				renewals <- outcome{now, k.store.Renew(try, lease)}
+			}()
 		}
-		// A renewal may not outlast the term, so that its end is noticed in time.
-		try, cancel := context.WithTimeout(ctx, min(left, 2*k.timing.Renew))
-		err := k.store.Renew(try, lease)
-		cancel()
-		switch {
-		case err == nil:
-			k.extend(sent)
-		case errors.Is(err, state.ErrNoLease):
-			return "lease ended"
-		default:
-			slog.Debug("renewal failed", "reason", err)
+		if !asking && k.AllPromise != nil && now.Sub(good) >= 2*k.timing.Renew {
+			asking = true
+			go func() {
+				try, cancel := context.WithTimeout(ctx, min(left, 3*k.timing.Renew))
+				defer cancel()
+				o := outcome{sent: now}
+				if !k.AllPromise(try, token) {
+					o.err = errors.New("not promised")
+				}
+				promises <- o
+			}()
 		}
 	}
 }
 
+// Promise decides whether this node vows not to take the term for the time of
+// one lease, as the term's holder asks. It does so only while the state service
+// does not answer it either: otherwise the holder's trouble is its own.
+func (k *Keeper) Promise(ctx context.Context, token uint64) bool {
+	if k.Valid() {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, k.timing.Renew)
+	defer cancel()
+	if _, _, err := k.store.Get(ctx, HolderKey); err == nil {
+		return false
+	}
+	return k.vow.promise(time.Now(), k.timing.Lease, token)
+}
+
 func (k *Keeper) extend(sent time.Time) {
 	k.until.Store(int64(sent.Add(k.timing.Safe).Sub(k.base)))
 }
--- a/internal/workers/calls.go
+++ b/internal/workers/calls.go
@@ -21,13 +21,8 @@
 }
 
 // NewClient makes a client whose calls wait for at most wait.
-func NewClient(wait time.Duration) *Client {
-	return &Client{wait: wait, http: &http.Client{Transport: &http.Transport{
-		MaxIdleConnsPerHost: 1,
-		MaxConnsPerHost:     4,
-		IdleConnTimeout:     time.Minute,
-		DisableCompression:  true,
-	}}}
+func NewClient(rt http.RoundTripper, wait time.Duration) *Client {
+	return &Client{wait: wait, http: &http.Client{Transport: rt}}
 }
 
 // Order sends commands. ok tells whether they were executed; the report is the
