--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -202,7 +202,11 @@
 		} else {
 			delete(l.refused, r.Kind)
 		}
-		slog.Info("machines rented", "type", r.Type, "zone", r.Zone, "spot", r.Spot, "asked", r.Count, "got", len(ids), "term", l.token)
+		level := slog.LevelInfo
+		if len(ids) == 0 {
+			level = slog.LevelDebug
+		}
+		slog.Log(ctx, level, "machines rented", "type", r.Type, "zone", r.Zone, "spot", r.Spot, "asked", r.Count, "got", len(ids), "term", l.token)
 		for _, id := range ids {
 			if l.machines[id] == nil {
 				m := newMachine(id, now)
--- /dev/null
+++ b/internal/liveness/trace_test.go
@@ -0,0 +1,130 @@
+package liveness
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// Each trace is a short story in testdata: what happens, and behind each tick
+// what must come of it. Times are in seconds; the periods are those below.
+//
+//	0    heard m-1 a 1/5       a report, zone a, session 1, counter 5
+//	2    restore m-1 a         known from an earlier leader
+//	3    order m-1             an order was sent, its answer is lost
+//	3    answered m-1 1/7      an order's answer
+//	4    call m-1 failed       outcome of a call
+//	4    call m-1 1/6
+//	5    tick = call m-1; dead m-2 call failed; held; disrupted
+var traceConfig = Config{
+	SilentFor: 3 * time.Second, LeaseOver: 10 * time.Second, HoldGrace: 4 * time.Second, Gap: time.Second,
+}
+
+func TestTraces(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.trace")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no traces: %v", err)
+	}
+	for _, f := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(f), ".trace"), func(t *testing.T) { play(t, f) })
+	}
+}
+
+func play(t *testing.T, file string) {
+	in, err := os.Open(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer in.Close()
+	w := New(traceConfig)
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	lines := bufio.NewScanner(in)
+	for n := 1; lines.Scan(); n++ {
+		line, _, _ := strings.Cut(lines.Text(), "#")
+		event, want, _ := strings.Cut(line, "=")
+		f := strings.Fields(event)
+		if len(f) == 0 {
+			continue
+		}
+		at, err := strconv.ParseFloat(f[0], 64)
+		if err != nil {
+			t.Fatalf("%s:%d: %v", file, n, err)
+		}
+		now := start.Add(time.Duration(at * float64(time.Second)))
+		switch f[1] {
+		case "heard":
+			w.Heard(f[2], f[3], parse(t, f[4]), now)
+		case "restore":
+			w.Restore(f[2], f[3], now)
+		case "order":
+			w.Called(f[2])
+		case "answered":
+			w.Answered(f[2], parse(t, f[3]))
+		case "forget":
+			w.Forget(f[2])
+		case "call":
+			if f[3] == "failed" {
+				w.CallDone(f[2], false, Counter{}, now)
+			} else {
+				w.CallDone(f[2], true, parse(t, f[3]), now)
+			}
+		case "tick":
+			var got []string
+			calls, verdicts := w.Tick(now)
+			for _, c := range calls {
+				got = append(got, "call "+c)
+			}
+			for _, v := range verdicts {
+				got = append(got, fmt.Sprintf("dead %s %s", v.Machine, v.Reason))
+			}
+			if w.Held(now) {
+				got = append(got, "held")
+			}
+			if w.Disrupted() {
+				got = append(got, "disrupted")
+			}
+			if d := cmp.Diff(strings.TrimSpace(want), strings.Join(got, "; ")); d != "" {
+				t.Errorf("%s:%d (-want +got):\n%s", file, n, d)
+			}
+		default:
+			t.Fatalf("%s:%d: unknown event %q", file, n, f[1])
+		}
+	}
+}
+
+func parse(t *testing.T, s string) Counter {
+	var c Counter
+	if _, err := fmt.Sscanf(s, "%d/%d", &c.Session, &c.Seq); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// A pacer that is swapped while saturated must not let a burst through.
+func TestPacerSwap(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	p := NewPacer(time.Second)
+	if !p.Allow(now) || p.Allow(now) {
+		t.Fatal("a new pacer gives one turn")
+	}
+	p.Swap(2*time.Second, now)
+	if p.Allow(now) {
+		t.Error("saturated before, so the new one starts empty")
+	}
+	now = now.Add(2 * time.Second)
+	p.Swap(time.Second, now)
+	if !p.Allow(now) || p.Allow(now) {
+		t.Error("not saturated before, so the new one gives its turn, once")
+	}
+	p.Swap(0, now)
+	if p.Allow(now.Add(time.Hour)) {
+		t.Error("stopped")
+	}
+}
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,175 @@
+package placement
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"ospreyslip/internal/jobs"
+	"ospreyslip/internal/settings"
+)
+
+// box is a machine of 4 CPUs in zone and kind as its name says: "a1", "b2",
+// and "s" in front for spot.
+func box(id string, free float64) *Machine {
+	zone := strings.TrimPrefix(id, "s")[:1]
+	return &Machine{
+		ID: id, Type: "c4", Zone: zone, Spot: strings.HasPrefix(id, "s"),
+		Total: Amount{4, 0, 16}, Free: Amount{free, 0, 16}, Images: map[string]bool{}, Avoid: map[string]bool{},
+	}
+}
+
+func job(id string, tasks int, cpus float64, change func(*jobs.Spec)) *Job {
+	s := &jobs.Spec{ID: id, Team: "red", Shape: jobs.Batch, Priority: jobs.Standard, Tasks: tasks, CPUs: cpus, RAMGB: 1, Image: "img", Spot: true}
+	if change != nil {
+		change(s)
+	}
+	j := &Job{Spec: s, DueS: 1e9, Zones: map[string]int{}}
+	for n := range tasks {
+		j.Pending = append(j.Pending, n)
+	}
+	return j
+}
+
+func running(m *Machine, j *Job, n int, ran float64) {
+	m.Tasks = append(m.Tasks, &Placed{Job: j, N: n, RanS: ran})
+	m.Free = m.Free.Plus(Of(j.Spec), -1)
+	j.Zones[m.Zone]++
+	j.Pending = slices.DeleteFunc(j.Pending, func(p int) bool { return p == n })
+}
+
+func TestPlan(t *testing.T) {
+	teams := []settings.Team{{Name: "red", CPUs: 4, CPUsMax: 8}, {Name: "blue", CPUs: 4, CPUsMax: 100}}
+	prod := func(s *jobs.Spec) { s.Priority, s.Shape, s.Spot = jobs.Prod, jobs.Service, false }
+	for _, tc := range []struct {
+		name  string
+		setup func(in *Input)
+		want  string
+	}{
+		{"the fullest machine that fits", func(in *Input) {
+			in.Machines = []*Machine{box("a1", 4), box("a2", 2), box("a3", 1)}
+			in.Jobs = []*Job{job("j-1", 1, 2, nil)}
+		}, "j-1/0>a2"},
+		{"a service goes where its image is", func(in *Input) {
+			m := box("a1", 4)
+			m.Images["img"] = true
+			in.Machines = []*Machine{m, box("a2", 2)}
+			in.Jobs = []*Job{job("j-1", 1, 2, prod)}
+		}, "j-1/0>a1"},
+		{"spread: half in one zone, rounded up", func(in *Input) {
+			in.Machines = []*Machine{box("a1", 4), box("b1", 4)}
+			in.Jobs = []*Job{job("j-1", 5, 1, func(s *jobs.Spec) { s.Spread = true })}
+		}, "j-1/0>a1 j-1/1>a1 j-1/2>a1 j-1/3>b1 j-1/4>b1"},
+		{"spread: what may still be in a zone counts", func(in *Input) {
+			in.Machines = []*Machine{box("a1", 4)}
+			j := job("j-1", 2, 1, func(s *jobs.Spec) { s.Spread = true })
+			j.Zones["a"] = 1
+			j.Pending = []int{1}
+			in.Jobs = []*Job{j}
+		}, "unmet j-1 1"},
+		{"one zone for all tasks", func(in *Input) {
+			in.Machines = []*Machine{box("a1", 2), box("b1", 4)}
+			in.Jobs = []*Job{job("j-1", 4, 1, func(s *jobs.Spec) { s.OneZone = true })}
+		}, "j-1/0>a1 j-1/1>a1 unmet j-1 2"},
+		{"types, zone and spot as allowed", func(in *Input) {
+			in.Machines = []*Machine{box("sa1", 4), box("b1", 4), box("a1", 4)}
+			in.Jobs = []*Job{
+				job("j-1", 1, 1, func(s *jobs.Spec) { s.Spot, s.Zone = false, "a" }),
+				job("j-2", 1, 1, func(s *jobs.Spec) { s.Types = []string{"g8"} }),
+			}
+		}, "j-1/0>a1 unmet j-2 1"},
+		{"the team's limit stops placing and asking", func(in *Input) {
+			in.Machines = []*Machine{box("a1", 4), box("a2", 4), box("a3", 4)}
+			in.Used["red"] = Amount{CPUs: 6}
+			in.Jobs = []*Job{job("j-1", 5, 1, nil)}
+		}, "j-1/0>a1 j-1/1>a1"},
+		{"production before age, the guarantee before priority", func(in *Input) {
+			in.Machines = []*Machine{box("a1", 1), box("a2", 1)}
+			old := job("j-1", 1, 1, func(s *jobs.Spec) { s.Priority = jobs.Urgent })
+			covered := job("j-2", 1, 1, nil)
+			covered.Guaranteed, covered.Order = true, 5
+			live := job("j-3", 1, 1, prod)
+			live.Order = 9
+			in.Jobs = []*Job{old, covered, live}
+		}, "j-3/0>a1 j-2/0>a2 unmet j-1 1"},
+		{"higher priority stops lower, that which has run least", func(in *Input) {
+			m := box("a1", 4)
+			low := job("j-1", 4, 1, nil)
+			for n := range 4 {
+				running(m, low, n, float64(10*(n+1)))
+			}
+			in.Machines = []*Machine{m}
+			in.Jobs = []*Job{job("j-2", 1, 2, prod)}
+		}, "stop j-1/0@a1 stop j-1/1@a1"},
+		{"equal priority of the same team is left alone", func(in *Input) {
+			m := box("a1", 4)
+			running(m, job("j-1", 1, 4, nil), 0, 1)
+			in.Machines = []*Machine{m}
+			in.Jobs = []*Job{job("j-2", 1, 2, nil)}
+		}, "unmet j-2 1"},
+		{"a guarantee takes back what another team has borrowed", func(in *Input) {
+			m := box("a1", 4)
+			running(m, job("j-1", 1, 4, func(s *jobs.Spec) { s.Team, s.Priority = "blue", jobs.Urgent }), 0, 1)
+			in.Used["blue"] = Amount{CPUs: 8}
+			j := job("j-2", 1, 2, nil)
+			j.Guaranteed = true
+			in.Machines, in.Jobs = []*Machine{m}, []*Job{j}
+		}, "stop j-1/0@a1"},
+		{"but not what is the other's own", func(in *Input) {
+			m := box("a1", 4)
+			running(m, job("j-1", 1, 4, func(s *jobs.Spec) { s.Team = "blue" }), 0, 1)
+			in.Used["blue"] = Amount{CPUs: 4}
+			j := job("j-2", 1, 2, nil)
+			j.Guaranteed = true
+			in.Machines, in.Jobs = []*Machine{m}, []*Job{j}
+		}, "unmet j-2 1"},
+		{"room that is being made is waited for, and kept from others", func(in *Input) {
+			m := box("a1", 1)
+			m.Freeing = Amount{CPUs: 3, RAMGB: 3}
+			in.Machines = []*Machine{m}
+			in.Jobs = []*Job{job("j-2", 1, 4, prod), job("j-3", 1, 1, nil)}
+		}, "unmet j-3 1"},
+		{"a machine that a job should avoid", func(in *Input) {
+			m := box("a1", 4)
+			m.Avoid["j-1"] = true
+			in.Machines = []*Machine{m}
+			in.Jobs = []*Job{job("j-1", 1, 1, nil)}
+		}, "unmet j-1 1"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			in := Input{Teams: teams, Used: map[string]Amount{}}
+			tc.setup(&in)
+			out := Plan(in)
+			var got []string
+			for _, s := range out.Stop {
+				got = append(got, fmt.Sprintf("stop %s/%d@%s", s.Task.Job.Spec.ID, s.Task.N, s.Machine.ID))
+			}
+			for _, a := range out.Assign {
+				got = append(got, fmt.Sprintf("%s/%d>%s", a.Job.Spec.ID, a.N, a.Machine.ID))
+			}
+			for _, d := range out.Unmet {
+				got = append(got, fmt.Sprintf("unmet %s %d", d.Job.Spec.ID, d.Count))
+			}
+			if d := cmp.Diff(tc.want, strings.Join(got, " ")); d != "" {
+				t.Errorf("(-want +got):\n%s", d)
+			}
+		})
+	}
+}
+
+// A job is within the guarantee together with the team's earlier jobs.
+func TestGuarantees(t *testing.T) {
+	teams := []settings.Team{{Name: "red", CPUs: 4}, {Name: "blue"}}
+	all := []*Job{job("j-1", 2, 1, nil), job("j-2", 3, 1, nil), job("j-3", 2, 1, nil), job("j-4", 1, 1, func(s *jobs.Spec) { s.Team = "blue" })}
+	Guarantees(teams, all)
+	got := []bool{}
+	for _, j := range all {
+		got = append(got, j.Guaranteed)
+	}
+	if d := cmp.Diff([]bool{true, false, false, false}, got); d != "" {
+		t.Error(d)
+	}
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,70 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestLoad(t *testing.T) {
+	good, err := os.ReadFile("testdata/perch-0.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, tc := range []struct{ name, old, new, want string }{
+		{"as handed over, with unknown fields", "", "", ""},
+		{"not TOML", "node_name =", "node_name", "toml"},
+		{"wrong type", "report_s = 2.0", `report_s = "2"`, "report_s"},
+		{"address without a port", `bind = "127.0.0.1:8080"`, `bind = "127.0.0.1"`, "bind must be host:port"},
+		{"lease of no length", "lease_s = 20.0", "lease_s = 0.0", "deployment.workers.lease_s must be a finite number above 0, is 0"},
+		{"no number", "rps = 6.0", "rps = nan", "deployment.cloud.rps must be a finite number"},
+		{"cancellations shorter than leases", "cancel_s = 40.0", "cancel_s = 20.0", "cancel_s (20) must exceed lease_s (20)"},
+		{"a team twice", `name = "blue"`, `name = "red"`, "deployment.teams[1].name"},
+		{"negative limit", "cpus_max = 40.0", "cpus_max = -1.0", "cpus_max must be a finite number of at least 0"},
+		{"itself as a peer", `node_name = "perch-1"`, `node_name = "perch-0"`, "peers[0].node_name"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			file := filepath.Join(t.TempDir(), "s.toml")
+			if err := os.WriteFile(file, []byte(strings.Replace(string(good), tc.old, tc.new, 1)), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			_, err := Load(file)
+			switch {
+			case tc.want == "" && err != nil:
+				t.Errorf("refused: %v", err)
+			case tc.want != "" && (err == nil || !strings.Contains(err.Error(), tc.want)):
+				t.Errorf("got %v, want it to name %q", err, tc.want)
+			}
+		})
+	}
+}
+
+// The ratios have to leave room for each other, at any pace.
+func TestDerivedBounds(t *testing.T) {
+	for _, w := range []Workers{{1.5, 10, 30}, {3, 45, 70}, {0.5, 4, 9}, {10, 40, 41}} {
+		s := Settings{Deployment: Deployment{Workers: w, State: State{RPS: 100, WriteRPS: 50, ValueKB: 32, TxnOps: 12}, Cloud: Cloud{RPS: 5, ListLagS: 5}, Limits: Limits{MemoryMB: 100, MaxSockets: 100}}}
+		d := s.Derive()
+		if d.TermSafe >= d.TermLease {
+			t.Errorf("%+v: the holder may outlast its lease", w)
+		}
+		if d.LeaseOver <= d.Lease {
+			t.Errorf("%+v: a task could be freed before its worker ends it", w)
+		}
+		// A cancellation unseen for as long as the picture may be old, plus a
+		// worker's lease, must end in time.
+		if d.WatchStale+d.LeaseOver > d.Cancel {
+			t.Errorf("%+v: a cancelled task could outlast %v", w, d.Cancel)
+		}
+		if d.WatchWait >= d.WatchStale {
+			t.Errorf("%+v: a quiet watch would look stale", w)
+		}
+		if d.TermRenew <= 0 || d.TermRenew > d.TermSafe/3 {
+			t.Errorf("%+v: too few renewals in one lease", w)
+		}
+		if d.UserWait > 2*time.Second {
+			t.Errorf("%+v: polls wait two seconds", w)
+		}
+	}
+}
