--- a/internal/settings/derived.go
+++ b/internal/settings/derived.go
@@ -58,7 +58,7 @@
 		Lease:  lease,
 		Cancel: cancel,
 
-		LeaseOver:  time.Duration(float64(lease)*(1+clockDrift)) + report/10,
+		LeaseOver:  time.Duration(float64(lease)*(1+clockDrift)) + min(report/10, (cancel-lease)/8),
 		SilentFor:  3 * report,
 		CallWait:   report / 2,
 		HoldGrace:  2 * report,
