Queue: jobs that can still meet an aim first, by learned run times

Cause: under load, jobs already past their aim held back those that could still meet it. Ruled out: plain deadline order, which keeps serving lost causes.

--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -151,7 +151,8 @@
 	for _, d := range l.unmet {
 		n := d.Count
 		if s := d.Job.Spec; s.Shape == jobs.Batch && s.EstimateS > 0 {
-			n = max(1, int(math.Ceil(float64(n)*s.EstimateS/max(s.EstimateS, batchShare*l.timeLeft(d.Job)))))
+			runs := l.runS(s)
+			n = max(1, int(math.Ceil(float64(n)*runs/max(runs, batchShare*l.timeLeft(d.Job)))))
 		}
 		needs = append(needs, fleet.Need{Spec: d.Job.Spec, Zones: d.Job.Zones, Count: n})
 	}
@@ -173,13 +174,7 @@
 	if j.DueS < noDeadline {
 		return j.DueS
 	}
-	left := j.Spec.EstimateS
-	for _, o := range l.Settings.Deployment.Objectives {
-		if o.Kind == "finished" && o.Class == j.Spec.Class {
-			left = max(left, o.WithinS)
-		}
-	}
-	return left
+	return l.runS(j.Spec)
 }
 
 // charter rents until the outcome is known: after anything but an answer the
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -162,6 +162,7 @@
 	renting    map[fleet.Kind]int
 	refused    map[fleet.Kind]refusal
 	listSyncAt time.Time
+	bias       map[string]float64   // by class, how far estimates are off, as a logarithm
 	gone       map[string]time.Time // given back, though perhaps still listed
 }
 
@@ -181,7 +182,7 @@
 		Deps: d, term: t, token: t.Token, tokenMark: t.TokenMark,
 		reports: make(chan reportIn, 16), events: make(chan func(time.Time), 64), quit: make(chan struct{}),
 		jobs: map[string]*job{}, machines: map[string]*machine{}, used: map[string]placement.Amount{},
-		renting: map[fleet.Kind]int{}, refused: map[fleet.Kind]refusal{}, gone: map[string]time.Time{},
+		renting: map[fleet.Kind]int{}, refused: map[fleet.Kind]refusal{}, gone: map[string]time.Time{}, bias: map[string]float64{},
 		attempts: t.Token << 24,
 		watch: liveness.New(liveness.Config{
 			SilentFor: d.Derived.SilentFor, LeaseOver: d.Derived.LeaseOver,
@@ -353,7 +354,7 @@
 		}
 		a := &assignment{
 			job: j, n: t.N, attempt: t.Attempt, session: rec.Session, m: m,
-			durable: true, doubt: l.token - 1, since: now, seen: "",
+			restored: true, durable: true, doubt: l.token - 1, born: now, since: now,
 		}
 		l.count(a)
 		m.assigned[a.attempt] = a
--- a/internal/control/model.go
+++ b/internal/control/model.go
@@ -175,16 +175,18 @@
 	session uint64
 	m       *machine
 
-	durable bool    // written: the worker may hear of it
-	outcome outcome // over, as soon as the record without it is durable
-	inRoom  bool    // counts in the machine's room
-	seen    string  // state in the newest picture, empty if absent
-	since   time.Time
-	sent    bool   // a run went out and is not yet known to have failed
-	ordered bool   // it went out in an order that has not returned
-	doubt   uint64 // a run under this token may still arrive
-	stop    bool   // shall stop
-	grace   float64
+	restored bool      // found in the records: nobody here saw it begin
+	durable  bool      // written: the worker may hear of it
+	outcome  outcome   // over, as soon as the record without it is durable
+	inRoom   bool      // counts in the machine's room
+	seen     string    // state in the newest picture, empty if absent
+	born     time.Time // when this leader made or found it
+	since    time.Time // when it was seen to start running, else as born
+	sent     bool      // a run went out and is not yet known to have failed
+	ordered  bool      // it went out in an order that has not returned
+	doubt    uint64    // a run under this token may still arrive
+	stop     bool      // shall stop
+	grace    float64
 }
 
 func (a *assignment) name() string { return workers.TaskName(a.job.id, a.n) }
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -14,8 +15,63 @@
 // for the next, when these are placed.
 const planTasks = 256
 
-// noDeadline sorts behind every deadline.
-const noDeadline = 1e12
+// Jobs without a deadline sort behind those with one, and jobs that have none
+// left to meet behind all: what they take would make others late, too.
+const (
+	noDeadline = 1e9
+	late       = 2e9
+)
+
+// dueS is how many seconds a job has left for the next aim that it can still
+// meet, given how long its tasks run.
+func (l *Leader) dueS(j *job, wall int64) float64 {
+	if j.spec.Shape != jobs.Batch {
+		return noDeadline
+	}
+	age, runs := float64(wall-j.atMs)/1000, l.runS(j.spec)
+	if j.spec.DeadlineS != nil {
+		if left := *j.spec.DeadlineS - age; left >= runs {
+			return left
+		}
+		return late
+	}
+	due, aims := late, false
+	for _, o := range l.Settings.Deployment.Objectives {
+		if o.Kind != "finished" || o.Class != j.spec.Class {
+			continue
+		}
+		aims = true
+		if left := o.WithinS - age; left >= runs {
+			due = min(due, left)
+		}
+	}
+	if !aims {
+		return noDeadline
+	}
+	return due
+}
+
+// runS is how long a task of the job will run: its owner's estimate, corrected
+// by how far the estimates of its class have been off lately.
+func (l *Leader) runS(s *jobs.Spec) float64 {
+	if bias, ok := l.bias[s.Class]; ok {
+		return s.EstimateS * math.Exp(bias)
+	}
+	return s.EstimateS
+}
+
+// biasWeight is what one completed task counts in the correction of estimates.
+const biasWeight = 0.05
+
+// ran learns from a completed task.
+func (l *Leader) ran(a *assignment, now time.Time) {
+	took := now.Sub(a.since).Seconds()
+	if a.since.Equal(a.born) || a.job.spec.EstimateS <= 0 || took <= 0 {
+		return // nobody saw it start
+	}
+	class, off := a.job.spec.Class, math.Log(took/a.job.spec.EstimateS)
+	l.bias[class] += biasWeight * (off - l.bias[class])
+}
 
 // place plans on the picture as it is and carries the plan out.
 func (l *Leader) place(now time.Time) {
@@ -32,10 +88,7 @@
 		if j.over() {
 			continue
 		}
-		p := &placement.Job{Spec: j.spec, Order: j.order, DueS: noDeadline, Zones: map[string]int{}}
-		if j.spec.DeadlineS != nil {
-			p.DueS = *j.spec.DeadlineS - float64(wall-j.atMs)/1000
-		}
+		p := &placement.Job{Spec: j.spec, Order: j.order, DueS: l.dueS(j, wall), Zones: map[string]int{}}
 		for z, n := range j.zones {
 			p.Zones[z] = n
 		}
@@ -131,7 +184,7 @@
 
 func (l *Leader) assign(j *job, n int, m *machine, now time.Time) {
 	l.attempts++
-	a := &assignment{job: j, n: n, attempt: l.attempts, session: m.session, m: m, since: now}
+	a := &assignment{job: j, n: n, attempt: l.attempts, session: m.session, m: m, since: now, born: now}
 	l.count(a)
 	m.assigned[a.attempt] = a
 	j.tasks[n] = a
--- a/internal/control/tasks.go
+++ b/internal/control/tasks.go
@@ -134,11 +134,13 @@
 		// One run is sent in one order only, so that one seen is one used up.
 		a.doubt, a.sent = 0, true
 		if a.seen != t.State {
-			a.seen = t.State
 			if t.State == workers.Running {
-				a.since = now
+				if a.seen == workers.Fetching || !a.restored {
+					a.since = now
+				}
 				m.images[a.job.spec.Image] = now
 			}
+			a.seen = t.State
 			l.show(a.job)
 		}
 		if t.State == workers.Ended {
@@ -165,6 +167,7 @@
 	case t.Cause == workers.CauseDone && j.spec.Shape == jobs.Batch:
 		j.errors = 0
 		clear(m.failures)
+		l.ran(a, now)
 		l.over(a, success)
 		return
 	case t.Cause == workers.CauseStopped:
