Fleet: rent for what a forecast shows late, not for all that waits

Cause: after each burst, machines rented for the whole queue came up when the ones at hand had worked it off.

--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -18,10 +19,12 @@
 
 // Ratios of the fleet's decisions.
 const (
-	idleBoots  = 1.0 // an idle machine is kept for as long as a new one takes to boot
-	lateBoots  = 4.0 // a machine that has not come up after so many boot times is given up
-	slowBoots  = 2.0 // after so many, another one is rented beside it
-	batchShare = 0.5 // part of the time a batch job has left that its tasks may queue up for
+	idleBoots = 1.0 // an idle machine is kept for as long as a new one takes to boot
+	lateBoots = 4.0 // a machine that has not come up after so many boot times is given up
+	slowBoots = 2.0 // after so many, another one is rented beside it
+	dueShare  = 0.4 // part of the time a batch job has left by which the forecast wants it over
+	overrun   = 0.2 // a task that should be over is expected to run on for this part of its run time
+	patience  = 4.0 // a job without an aim to meet is given so many times its run and boot time
 )
 
 // listing keeps asking the cloud what there is.
@@ -144,18 +147,10 @@
 	for k, n := range l.renting {
 		have[k] += n
 		for range n {
-			add(k)
+			add(k) // on its way, though not in the books yet
 		}
 	}
-	var needs []fleet.Need
-	for _, d := range l.unmet {
-		n := d.Count
-		if s := d.Job.Spec; s.Shape == jobs.Batch && s.EstimateS > 0 {
-			runs := l.runS(s)
-			n = max(1, int(math.Ceil(float64(n)*runs/max(runs, batchShare*l.timeLeft(d.Job)))))
-		}
-		needs = append(needs, fleet.Need{Spec: d.Job.Spec, Zones: d.Job.Zones, Count: n})
-	}
+	needs := l.needs(now)
 	plan := fleet.Plan(needs, coming, fleet.Market{
 		Types:   l.Catalog(),
 		Have:    have,
@@ -169,12 +164,84 @@
 	}
 }
 
-// timeLeft is how many seconds a batch job has for its objective.
+// needs is the work that machines should be rented for: services at once, and
+// batch tasks that would be over too late on the machines there are.
+func (l *Leader) needs(now time.Time) []fleet.Need {
+	var queue []fleet.Waiting
+	for _, d := range l.unmet {
+		if s := d.Job.Spec; s.Shape == jobs.Batch {
+			queue = append(queue, fleet.Waiting{Spec: s, Count: d.Count, RunS: l.runS(s), DueS: dueShare * l.timeLeft(d.Job)})
+		}
+	}
+	late := fleet.Late(l.rooms(now), queue)
+	var needs []fleet.Need
+	for _, d := range l.unmet {
+		n := d.Count
+		if s := d.Job.Spec; s.Shape == jobs.Batch {
+			n, late = late[0], late[1:]
+			// A new machine works off several tasks one after the other.
+			if waves := (l.timeLeft(d.Job) - l.shortestBoot().Seconds()) / l.runS(s); waves > 1 && n > 0 {
+				n = int(math.Ceil(float64(n) / math.Floor(waves)))
+			}
+		}
+		if n > 0 {
+			needs = append(needs, fleet.Need{Spec: d.Job.Spec, Zones: d.Job.Zones, Count: n})
+		}
+	}
+	return needs
+}
+
+// rooms is what the forecast plays on.
+func (l *Leader) rooms(now time.Time) []fleet.Room {
+	var rooms []fleet.Room
+	for _, m := range l.machines {
+		t := l.machineType(m.typ)
+		if t == nil {
+			continue
+		}
+		boot := l.bootTime(m.typ)
+		r := fleet.Room{
+			Kind: fleet.Kind{Type: m.typ, Zone: m.zone, Spot: m.spot},
+			Free: placement.Amount{CPUs: t.CPUs, GPUs: t.GPUs, RAMGB: t.RAMGB}.Plus(m.room, -1),
+		}
+		switch {
+		case l.usable(m, now):
+		case m.phase == booting && now.Sub(m.known) < times(boot, slowBoots):
+			r.From = max(boot-now.Sub(m.known), boot/8).Seconds()
+		default:
+			continue
+		}
+		for _, a := range m.assigned {
+			if a.outcome != open || a.job.spec.Shape != jobs.Batch {
+				continue
+			}
+			left := l.runS(a.job.spec) - now.Sub(a.since).Seconds()
+			if a.stop || a.job.over() {
+				left = a.grace
+			}
+			r.Leaves = append(r.Leaves, fleet.Leave{At: max(left, overrun*l.runS(a.job.spec)), Need: placement.Of(a.job.spec)})
+		}
+		rooms = append(rooms, r)
+	}
+	slices.SortFunc(rooms, func(a, b fleet.Room) int { return cmp.Compare(a.From, b.From) })
+	return rooms
+}
+
+func (l *Leader) shortestBoot() time.Duration {
+	least := time.Duration(math.MaxInt64)
+	for _, t := range l.Catalog() {
+		least = min(least, l.bootTime(t.Name))
+	}
+	return least
+}
+
+// timeLeft is how many seconds a batch job has left. Without an aim to meet it
+// should not wait for ever either.
 func (l *Leader) timeLeft(j *placement.Job) float64 {
 	if j.DueS < noDeadline {
 		return j.DueS
 	}
-	return l.runS(j.Spec)
+	return patience * (l.runS(j.Spec) + l.shortestBoot().Seconds())
 }
 
 // charter rents until the outcome is known: after anything but an answer the
