--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -19,7 +19,7 @@
 
 // Ratios of the fleet's decisions.
 const (
-	idleBoots = 1.0 // an idle machine is kept for as long as a new one takes to boot
+	idleBoots = 0.5 // an idle ordinary machine is kept for this part of the time a new one takes to boot
 	lateBoots = 4.0 // a machine that has not come up after so many boot times is given up
 	slowBoots = 2.0 // after so many, another one is rented beside it
 	dueShare  = 0.4 // part of the time a batch job has left by which the forecast wants it over
@@ -108,7 +108,7 @@
 		case m.phase == booting && now.Sub(m.known) > times(boot, lateBoots):
 			slog.Info("machine never came up", "machine", m.id, "term", l.token)
 			back = append(back, m)
-		case m.phase == up && len(m.assigned) == 0 && (m.dead || m.draining || now.Sub(m.idleSince) > times(boot, idleBoots)):
+		case m.phase == up && len(m.assigned) == 0 && (m.dead || m.draining || now.Sub(m.idleSince) > l.idleTime(m)):
 			if m.noticeUntil.IsZero() || now.After(m.noticeUntil.Add(l.Derived.ListLag)) || m.dead {
 				back = append(back, m)
 			}
@@ -227,6 +227,16 @@
 	return rooms
 }
 
+// idleTime is how long an idle machine is kept. The cheaper it is, by the price
+// of the ordinary kind, the longer keeping it costs less than booting another.
+func (l *Leader) idleTime(m *machine) time.Duration {
+	keep := times(l.bootTime(m.typ), idleBoots)
+	if t := l.machineType(m.typ); m.spot && t != nil && t.SpotPrice > 0 {
+		keep = times(keep, t.Price/t.SpotPrice)
+	}
+	return keep
+}
+
 func (l *Leader) shortestBoot() time.Duration {
 	least := time.Duration(math.MaxInt64)
 	for _, t := range l.Catalog() {
