Queue: weigh the deadline by the work left

Cause: in an overload, deadline order lets one large job make many small ones late; the aims count jobs.

--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -248,7 +248,7 @@
 // timeLeft is how many seconds a batch job has left. Without an aim to meet it
 // should not wait for ever either.
 func (l *Leader) timeLeft(j *placement.Job) float64 {
-	if j.DueS < noDeadline {
+	if j.DueS < placement.NoDeadline {
 		return j.DueS
 	}
 	return patience * (l.runS(j.Spec) + l.shortestBoot().Seconds())
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -15,27 +15,20 @@
 // for the next, when these are placed.
 const planTasks = 256
 
-// Jobs without a deadline sort behind those with one, and jobs that have none
-// left to meet behind all: what they take would make others late, too.
-const (
-	noDeadline = 1e9
-	late       = 2e9
-)
-
 // dueS is how many seconds a job has left for the next aim that it can still
 // meet, given how long its tasks run.
 func (l *Leader) dueS(j *job, wall int64) float64 {
 	if j.spec.Shape != jobs.Batch {
-		return noDeadline
+		return placement.NoDeadline
 	}
 	age, runs := float64(wall-j.atMs)/1000, l.runS(j.spec)
 	if j.spec.DeadlineS != nil {
 		if left := *j.spec.DeadlineS - age; left >= runs {
 			return left
 		}
-		return late
+		return placement.Late
 	}
-	due, aims := late, false
+	due, aims := float64(placement.Late), false
 	for _, o := range l.Settings.Deployment.Objectives {
 		if o.Kind != "finished" || o.Class != j.spec.Class {
 			continue
@@ -46,7 +39,7 @@
 		}
 	}
 	if !aims {
-		return noDeadline
+		return placement.NoDeadline
 	}
 	return due
 }
@@ -89,6 +82,7 @@
 			continue
 		}
 		p := &placement.Job{Spec: j.spec, Order: j.order, DueS: l.dueS(j, wall), Zones: map[string]int{}}
+		p.LeftS = float64(j.spec.Tasks-j.doneCount) * l.runS(j.spec) * j.spec.CPUs
 		for z, n := range j.zones {
 			p.Zones[z] = n
 		}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -52,6 +52,7 @@
 	Spec       *jobs.Spec
 	Order      uint64         // order of acceptance
 	DueS       float64        // seconds left to its deadline; without one, a large number
+	LeftS      float64        // what its unfinished tasks will take, in CPU seconds
 	Pending    []int          // tasks to place, in order
 	Zones      map[string]int // tasks that are, or may be, in a zone
 	Guaranteed bool           // within its team's guarantee
@@ -65,6 +66,13 @@
 	Jobs     []*Job
 }
 
+// Jobs without a deadline sort behind those with one, and jobs that have none
+// left to meet behind all: what they take would make others late, too.
+const (
+	NoDeadline = 1e9
+	Late       = 2e9
+)
+
 // Assignment puts a task on a machine.
 type Assignment struct {
 	Job     *Job
@@ -112,8 +120,9 @@
 	return settings.Team{Name: name}
 }
 
-// before orders the queue: production first, then what a guarantee covers,
-// then by priority, then by deadline and by age.
+// before orders the queue: production first, then what a guarantee covers, then
+// by priority. Among equals it weighs what is due soon against what takes little:
+// by deadline alone, one large job in an overload makes many small ones late.
 func before(a, b *Job) int {
 	prod := func(j *Job) int {
 		if j.Spec.Priority == jobs.Prod {
@@ -131,11 +140,24 @@
 		cmp.Compare(prod(a), prod(b)),
 		cmp.Compare(covered(a), covered(b)),
 		cmp.Compare(b.Spec.Rank(), a.Spec.Rank()),
-		cmp.Compare(a.DueS, b.DueS),
+		cmp.Compare(stage(a), stage(b)),
+		cmp.Compare(a.DueS*a.LeftS, b.DueS*b.LeftS),
 		cmp.Compare(a.Order, b.Order),
 	)
 }
 
+// stage tells jobs with a deadline to meet from those without, and from those
+// that can meet none.
+func stage(j *Job) int {
+	switch {
+	case j.DueS < NoDeadline:
+		return 0
+	case j.DueS < Late:
+		return 1
+	}
+	return 2
+}
+
 // Plan places what it can.
 func Plan(in Input) Output {
 	var out Output
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -95,6 +95,14 @@
 			live.Order = 9
 			in.Jobs = []*Job{old, covered, live}
 		}, "j-3/0>a1 j-2/0>a2 unmet j-1 1"},
+		{"in an overload the small job first, and the lost cause last", func(in *Input) {
+			in.Machines = []*Machine{box("a1", 1), box("a2", 1)}
+			lost, large, small := job("j-1", 1, 1, nil), job("j-2", 1, 1, nil), job("j-3", 1, 1, nil)
+			lost.DueS, lost.LeftS = Late, 1
+			large.DueS, large.LeftS = 50, 900
+			small.DueS, small.LeftS = 60, 30
+			in.Jobs = []*Job{lost, large, small}
+		}, "j-3/0>a1 j-2/0>a2 unmet j-1 1"},
 		{"higher priority stops lower, that which has run least", func(in *Input) {
 			m := box("a1", 4)
 			low := job("j-1", 4, 1, nil)
