Liveness: no verdict without a report heard after its confirmation

Cause: a leader that had just lost its connection to all workers judged the first silent machine dead, and gave it back, before it found all of them silent. Ruled out: a longer silence, which only moves the race.

--- a/internal/liveness/liveness.go
+++ b/internal/liveness/liveness.go
@@ -50,6 +50,7 @@
 	calling   bool
 	callAfter time.Time // one answer is enough for a while
 	confirmed Reason    // set: dead, the verdict awaits its turn
+	since     time.Time // when it was confirmed
 	judged    bool      // the verdict is out
 	floor     Counter   // set: the report that ends the hold
 	holdUntil time.Time // a floor holds no longer than this
@@ -62,6 +63,7 @@
 	machines  map[string]*machine
 	pacers    map[string]*Pacer
 	disrupted bool
+	lastHeard time.Time // the last report of any machine
 }
 
 // New makes an empty picture.
@@ -94,6 +96,7 @@
 		m.floor = Counter{}
 	}
 	m.zone, m.heard, m.known, m.calls = zone, now, c, 0
+	w.lastHeard = now
 	m.synced, m.judged, m.dawdles, m.confirmed = true, false, false, ""
 	if w.disrupted {
 		w.leaveDisruption(now)
@@ -188,7 +191,10 @@
 			calls = append(calls, id)
 			continue
 		}
-		if held || w.disrupted || !w.pacer(m.zone).Allow(now) {
+		// A leader that has just lost its connection finds machine after machine
+		// silent before it finds all of them so. A report that comes after the
+		// confirmation shows that it still hears anything at all.
+		if held || w.disrupted || !w.lastHeard.After(m.since) || !w.pacer(m.zone).Allow(now) {
 			continue
 		}
 		m.judged = true
@@ -209,7 +215,7 @@
 	}
 	if !ok {
 		m.floor = Counter{}
-		m.confirmed = CallFailed
+		m.confirmed, m.since = CallFailed, now
 		return
 	}
 	// Each call of ours that arrived raised the counter by one, this one too.
@@ -231,9 +237,9 @@
 		}
 		m.callAfter = now.Add(w.cfg.HoldGrace / 2)
 	case m.dawdles:
-		m.confirmed = Dawdles
+		m.confirmed, m.since = Dawdles, now
 	default:
-		m.confirmed = NoNewer
+		m.confirmed, m.since = NoNewer, now
 	}
 }
 
@@ -246,10 +252,9 @@
 	return p
 }
 
-// allSilent tells whether every machine of every zone looks dead. A single
-// machine says nothing about its surroundings.
+// allSilent tells whether every machine of every zone looks dead.
 func (w *Watch) allSilent(now time.Time) bool {
-	if len(w.machines) < 2 {
+	if len(w.machines) == 0 {
 		return false
 	}
 	for _, m := range w.machines {
