--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -113,6 +113,7 @@
 			continue
 		}
 		k.holder.Store(holder)
+		k.vow.know(token)
 		// Our own key from an earlier life is free to take: its holder is gone.
 		own := holder != nil && holder.Node == k.node
 		if holder != nil && !own {
@@ -192,6 +193,7 @@
 		k.vow.settled()
 	}
 	if err == nil && len(failed) == 0 {
+		k.vow.know(h.Token)
 		return Term{Token: h.Token, Mark: rev, TokenMark: rev, Since: time.Now()}, lease, sent, nil
 	}
 	// An unknown outcome is not pursued: should the transaction be applied
@@ -245,6 +247,7 @@
 	renewals, promises := make(chan outcome, 1), make(chan outcome, 1)
 	renewing, asking := false, false
 	good := time.Now()
+	tried, asked := good, good // a refusal comes at once, and must not be asked for again at once
 	for {
 		select {
 		case <-ctx.Done():
@@ -264,7 +267,9 @@
 			}
 		case o := <-promises:
 			asking = false
-			if o.err == nil {
+			// Once uncovered, the holder may not go on: another may have taken
+			// the term in between and have promised nothing against itself.
+			if o.err == nil && k.Valid() {
 				k.extend(o.sent)
 				k.proven.Store(int64(o.sent.Sub(k.base)))
 			}
@@ -276,16 +281,16 @@
 			return "neither renewed nor promised"
 		}
 		// A try may not outlast the term, so that its end is noticed in time.
-		if !renewing && now.Sub(good) >= k.timing.Renew*9/10 {
-			renewing = true
+		if !renewing && now.Sub(tried) >= k.timing.Renew*9/10 {
+			renewing, tried = true, now
 			go func() {
 				try, cancel := context.WithTimeout(ctx, min(left, 2*k.timing.Renew))
 				defer cancel()
 				renewals <- outcome{now, k.store.Renew(try, lease)}
 			}()
 		}
-		if !asking && k.AllPromise != nil && now.Sub(good) >= 2*k.timing.Renew {
-			asking = true
+		if !asking && k.AllPromise != nil && now.Sub(good) >= 2*k.timing.Renew && now.Sub(asked) >= k.timing.Renew*9/10 {
+			asking, asked = true, now
 			go func() {
 				try, cancel := context.WithTimeout(ctx, min(left, 3*k.timing.Renew))
 				defer cancel()
--- a/internal/term/vow.go
+++ b/internal/term/vow.go
@@ -12,6 +12,7 @@
 	fromEarlier bool      // it stands for what an earlier life may have promised
 	open        bool      // a campaign's outcome is unknown
 	after       uint64    // the token that it builds on
+	known       uint64    // highest token known to have been given out
 }
 
 // left is how long this node must not campaign. A node whose own earlier life
@@ -38,6 +39,13 @@
 	return true
 }
 
+// know notes a token that was given out.
+func (v *vow) know(token uint64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.known = max(v.known, token)
+}
+
 // settled notes that the campaign's outcome is known.
 func (v *vow) settled() {
 	v.mu.Lock()
@@ -51,8 +59,8 @@
 func (v *vow) promise(now time.Time, life time.Duration, token uint64) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.open && v.after >= token {
-		return false
+	if v.open && v.after >= token || v.known > token {
+		return false // the second: who asks has been succeeded
 	}
 	if until := now.Add(life); until.After(v.until) {
 		v.until = until
--- a/internal/term/vow_test.go
+++ b/internal/term/vow_test.go
@@ -56,6 +56,13 @@
 			t.Error("a promise of this life binds in any case")
 		}
 	})
+	t.Run("no promise to a holder that has been succeeded", func(t *testing.T) {
+		var v vow
+		v.know(8)
+		if v.promise(at(0), life, 7) || !v.promise(at(0), life, 8) {
+			t.Error("token 8 was given out")
+		}
+	})
 	t.Run("promises only grow", func(t *testing.T) {
 		var v vow
 		v.promise(at(0), 3*life, 7)
