--- a/cmd/ospreyslip/main.go
+++ b/cmd/ospreyslip/main.go
@@ -27,12 +27,12 @@
 }
 
 func root() *cobra.Command {
-	var config string
+	var config, operator string
 	load := func() (*settings.Settings, error) {
 		if config == "" {
 			return nil, fmt.Errorf("--config FILE is missing")
 		}
-		return settings.Load(config)
+		return settings.Load(config, operator)
 	}
 	cmd := &cobra.Command{
 		Use:           "ospreyslip --config FILE",
@@ -53,6 +53,7 @@
 		},
 	}
 	cmd.PersistentFlags().StringVar(&config, "config", "", "settings file (TOML)")
+	cmd.PersistentFlags().StringVar(&operator, "operator", os.Getenv("OSPREYSLIP_OPERATOR"), "operators' settings (JSON); default: $OSPREYSLIP_OPERATOR")
 	cmd.AddCommand(&cobra.Command{
 		Use:   "check",
 		Short: "Check the settings and print what is derived from them",
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -17,14 +17,10 @@
 	"ospreyslip/internal/placement"
 )
 
-// Ratios of the fleet's decisions.
+// Ratios of the forecast.
 const (
-	idleBoots = 0.5 // an idle ordinary machine is kept for this part of the time a new one takes to boot
-	lateBoots = 4.0 // a machine that has not come up after so many boot times is given up
-	slowBoots = 2.0 // after so many, another one is rented beside it
-	dueShare  = 0.4 // part of the time a batch job has left by which the forecast wants it over
-	overrun   = 0.2 // a task that should be over is expected to run on for this part of its run time
-	patience  = 4.0 // a job without an aim to meet is given so many times its run and boot time
+	overrun  = 0.2 // a task that should be over is expected to run on for this part of its run time
+	patience = 4.0 // a job without an aim to meet is given so many times its run and boot time
 )
 
 // listing keeps asking the cloud what there is.
@@ -105,7 +101,7 @@
 		boot := l.bootTime(m.typ)
 		switch {
 		case m.phase == returning:
-		case m.phase == booting && now.Sub(m.known) > times(boot, lateBoots):
+		case m.phase == booting && now.Sub(m.known) > times(boot, l.Settings.Operator.LateBoots):
 			slog.Info("machine never came up", "machine", m.id, "term", l.token)
 			back = append(back, m)
 		case m.phase == up && len(m.assigned) == 0 && (m.dead || m.draining || now.Sub(m.idleSince) > l.idleTime(m)):
@@ -140,7 +136,7 @@
 		if m.phase != returning {
 			have[k]++
 		}
-		if m.phase == booting && now.Sub(m.known) < times(l.bootTime(m.typ), slowBoots) {
+		if m.phase == booting && now.Sub(m.known) < times(l.bootTime(m.typ), l.Settings.Operator.SlowBoots) {
 			add(k)
 		}
 	}
@@ -170,7 +166,7 @@
 	var queue []fleet.Waiting
 	for _, d := range l.unmet {
 		if s := d.Job.Spec; s.Shape == jobs.Batch {
-			queue = append(queue, fleet.Waiting{Spec: s, Count: d.Count, RunS: l.runS(s), DueS: dueShare * l.timeLeft(d.Job)})
+			queue = append(queue, fleet.Waiting{Spec: s, Count: d.Count, RunS: l.runS(s), DueS: l.Settings.Operator.DueShare * l.timeLeft(d.Job)})
 		}
 	}
 	late := fleet.Late(l.rooms(now), queue)
@@ -206,7 +202,7 @@
 		}
 		switch {
 		case l.usable(m, now):
-		case m.phase == booting && now.Sub(m.known) < times(boot, slowBoots):
+		case m.phase == booting && now.Sub(m.known) < times(boot, l.Settings.Operator.SlowBoots):
 			r.From = max(boot-now.Sub(m.known), boot/8).Seconds()
 		default:
 			continue
@@ -230,7 +226,7 @@
 // idleTime is how long an idle machine is kept. The cheaper it is, by the price
 // of the ordinary kind, the longer keeping it costs less than booting another.
 func (l *Leader) idleTime(m *machine) time.Duration {
-	keep := times(l.bootTime(m.typ), idleBoots)
+	keep := times(l.bootTime(m.typ), l.Settings.Operator.IdleBoots)
 	if t := l.machineType(m.typ); m.spot && t != nil && t.SpotPrice > 0 {
 		keep = times(keep, t.Price/t.SpotPrice)
 	}
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -88,7 +88,8 @@
 
 func (c *cluster) settings(name string) *settings.Settings {
 	s := &settings.Settings{
-		Node: name, Zone: "a", Listen: addrOf(name), ClusterListen: clusterOf(name),
+		Operator: settings.DefaultOperator(),
+		Node:     name, Zone: "a", Listen: addrOf(name), ClusterListen: clusterOf(name),
 		Endpoints: settings.Endpoints{Cloud: "10.2.0.2:1", State: "10.2.0.1:1"},
 		Deployment: settings.Deployment{
 			Nodes: 3, Zones: []string{"a", "b", "c"},
--- a/internal/settings/derived.go
+++ b/internal/settings/derived.go
@@ -44,6 +44,10 @@
 	UserQueue   int
 }
 
+func times(d time.Duration, ratio float64) time.Duration {
+	return time.Duration(float64(d) * ratio)
+}
+
 // Derive computes the figures.
 func (s *Settings) Derive() Derived {
 	d := &s.Deployment
@@ -59,10 +63,10 @@
 		Cancel: cancel,
 
 		LeaseOver:  time.Duration(float64(lease)*(1+clockDrift)) + min(report/10, (cancel-lease)/8),
-		SilentFor:  3 * report,
+		SilentFor:  times(report, s.Operator.SilentReports),
 		CallWait:   report / 2,
-		HoldGrace:  2 * report,
-		VerdictGap: time.Second,
+		HoldGrace:  times(report, s.Operator.HoldReports),
+		VerdictGap: seconds(s.Operator.VerdictGapS),
 
 		TermLease: term,
 		TermRenew: term / 5,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,6 +23,7 @@
 	Peers         []Peer     `toml:"peers"`
 	Endpoints     Endpoints  `toml:"endpoints"`
 	Deployment    Deployment `toml:"deployment"`
+	Operator      Operator   `toml:"-"`
 }
 
 // Peer is another controller.
@@ -96,9 +97,13 @@
 	MaxSockets int     `toml:"max_sockets"`
 }
 
-// Load reads and checks a settings file.
-func Load(path string) (*Settings, error) {
+// Load reads and checks the platform's file and the operators', if there is one.
+func Load(path, operator string) (*Settings, error) {
 	var s Settings
+	var err error
+	if s.Operator, err = LoadOperator(operator); err != nil {
+		return nil, err
+	}
 	if _, err := toml.DecodeFile(path, &s); err != nil {
 		return nil, fmt.Errorf("settings %s: %w", path, err)
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -30,7 +30,7 @@
 			if err := os.WriteFile(file, []byte(strings.Replace(string(good), tc.old, tc.new, 1)), 0o600); err != nil {
 				t.Fatal(err)
 			}
-			_, err := Load(file)
+			_, err := Load(file, "")
 			switch {
 			case tc.want == "" && err != nil:
 				t.Errorf("refused: %v", err)
@@ -41,10 +41,36 @@
 	}
 }
 
+func TestLoadOperator(t *testing.T) {
+	if d := DefaultOperator(); d.SilentReports != 3 || d.HoldReports != 2 || d.VerdictGapS != 1 || d.DueShare != 0.4 || d.IdleBoots != 0.5 || d.SlowBoots != 2 || d.LateBoots != 4 {
+		t.Errorf("defaults: %+v", d)
+	}
+	for _, tc := range []struct{ name, body, want string }{
+		{"empty", `{}`, ""},
+		{"one field", `{"idleBoots": 2}`, ""},
+		{"out of range", `{"silentReports": 1}`, "silentReports: minimum: got 1, want 2"},
+		{"wrong type", `{"dueShare": "half"}`, "dueShare: got string, want number"},
+		{"unknown field", `{"silent": 3}`, "additional properties 'silent' not allowed"},
+		{"not JSON", `{`, "EOF"},
+		{"late before slow", `{"slowBoots": 5, "lateBoots": 2}`, "lateBoots (2) must not be below slowBoots (5)"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			file := filepath.Join(t.TempDir(), "operator.json")
+			if err := os.WriteFile(file, []byte(tc.body), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			_, err := LoadOperator(file)
+			if tc.want == "" && err != nil || tc.want != "" && (err == nil || !strings.Contains(err.Error(), tc.want)) {
+				t.Errorf("got %v, want %q", err, tc.want)
+			}
+		})
+	}
+}
+
 // The ratios have to leave room for each other, at any pace.
 func TestDerivedBounds(t *testing.T) {
 	for _, w := range []Workers{{1.5, 10, 30}, {3, 45, 70}, {0.5, 4, 9}, {10, 40, 41}} {
-		s := Settings{Deployment: Deployment{Workers: w, State: State{RPS: 100, WriteRPS: 50, ValueKB: 32, TxnOps: 12}, Cloud: Cloud{RPS: 5, ListLagS: 5}, Limits: Limits{MemoryMB: 100, MaxSockets: 100}}}
+		s := Settings{Operator: DefaultOperator(), Deployment: Deployment{Workers: w, State: State{RPS: 100, WriteRPS: 50, ValueKB: 32, TxnOps: 12}, Cloud: Cloud{RPS: 5, ListLagS: 5}, Limits: Limits{MemoryMB: 100, MaxSockets: 100}}}
 		d := s.Derive()
 		if d.TermSafe >= d.TermLease {
 			t.Errorf("%+v: the holder may outlast its lease", w)
