--- a/cmd/ospreyslip/main.go
+++ b/cmd/ospreyslip/main.go
@@ -66,6 +66,7 @@
 			return set.Derive().Print(cmd.OutOrStdout())
 		},
 	})
+	cmd.AddCommand(statusCommand(load))
 	return cmd
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -53,6 +53,7 @@
 	counts  *control.Counts
 	listen  func(addr string) (net.Listener, error)
 	hub     *peer.Hub
+	debug   *handed
 	catalog atomic.Pointer[[]jobs.MachineType]
 }
 
@@ -102,6 +103,8 @@
 		Lease: d.TermLease, Renew: d.TermRenew, Safe: d.TermSafe, WatchWait: d.WatchWait, Retry: d.TermRenew,
 	})
 	n.hub = peer.NewHub(set.Node, set.Peers, w.Dial, d.TermRenew)
+	n.debug = newHanded()
+	n.hub.HTTP = n.debug.take
 	n.hub.Promise = func(ctx context.Context, _ string, token uint64) bool { return n.keeper.Promise(ctx, token) }
 	n.hub.Progress = func(from string, counts map[string]jobs.Counts) {
 		if !n.keeper.Valid() {
@@ -178,6 +181,7 @@
 	}
 	var duties sync.WaitGroup
 	duties.Go(func() { n.hub.Run(ctx, cluster) })
+	duties.Go(func() { n.serveDebug(ctx) })
 	duties.Go(func() { n.keepCatalog(ctx) })
 	duties.Go(func() {
 		n.keeper.Run(ctx, func(ctx context.Context, t term.Term) {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -1,6 +1,10 @@
 package node
 
 import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -377,6 +381,48 @@
 	})
 }
 
+// Operators read the leader's view on the cluster listener, beside the peers.
+func TestStatusAndMetrics(t *testing.T) {
+	inCluster(t, nil, func(c *cluster) {
+		c.allUp()
+		get := func(node, path string) string {
+			client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
+				return c.world.Net.Dial(ctx, "operator", addr)
+			}}}
+			resp, err := client.Get("http://" + clusterOf(node) + path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer resp.Body.Close()
+			raw, err := io.ReadAll(resp.Body)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return string(raw)
+		}
+		leader := c.leader()
+		var s Status
+		if err := json.Unmarshal([]byte(get(leader, "/status")), &s); err != nil {
+			t.Fatal(err)
+		}
+		if !s.Leading || s.View == nil || len(s.View.Machines) == 0 || len(s.View.Classes) != 2 {
+			t.Errorf("status of the leader: %+v", s)
+		}
+		for _, n := range c.names {
+			if n != leader && !strings.Contains(get(n, "/status"), `"leader":"`+leader+`"`) {
+				t.Errorf("%s does not name the leader", n)
+			}
+		}
+		for _, want := range []string{
+			"ospreyslip_leading 1", `ospreyslip_tasks_placed{class="web"} 2`, `ospreyslip_team_cpus{team="blue"} 6`, `ospreyslip_machines{state="busy"}`,
+		} {
+			if got := get(leader, "/metrics"); !strings.Contains(got, want) {
+				t.Errorf("metrics lack %q:\n%s", want, got)
+			}
+		}
+	})
+}
+
 func TestUserMistakes(t *testing.T) {
 	inCluster(t, nil, func(c *cluster) {
 		change := func(field string, v any) map[string]any {
--- /dev/null
+++ b/internal/node/status.go
@@ -0,0 +1,151 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"ospreyslip/internal/control"
+)
+
+// Status is what a node tells its operators.
+type Status struct {
+	Node    string          `json:"node"`
+	Zone    string          `json:"zone"`
+	Leader  string          `json:"leader"` // as this node knows; empty if unknown
+	Leading bool            `json:"leading"`
+	View    *control.Status `json:"view,omitempty"` // of the leader only
+}
+
+func (n *Node) status(ctx context.Context) Status {
+	return Status{
+		Node: n.set.Node, Zone: n.set.Zone, Leader: n.keeper.Leader(), Leading: n.keeper.Valid(),
+		View: n.gate.Status(ctx),
+	}
+}
+
+// debugHandler serves operators on the cluster listener. It only reads.
+func (n *Node) debugHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithTimeout(r.Context(), n.d.UserWait)
+		defer cancel()
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(n.status(ctx))
+	})
+	reg := prometheus.NewRegistry()
+	reg.MustRegister(&collector{n})
+	mux.Handle("GET /metrics", promhttp.HandlerFor(reg, promhttp.HandlerOpts{}))
+	return mux
+}
+
+// collector reads the metrics when they are asked for: nothing is counted on
+// the way, so that they cost nothing in between.
+type collector struct{ n *Node }
+
+func desc(name, help string, labels ...string) *prometheus.Desc {
+	return prometheus.NewDesc("ospreyslip_"+name, help, labels, nil)
+}
+
+var (
+	leadingDesc   = desc("leading", "1 while this node holds the term.")
+	tokenDesc     = desc("token", "Token that workers compare.")
+	pictureDesc   = desc("picture_age_seconds", "Age of the leader's picture of users' wishes.")
+	heldDesc      = desc("verdicts_held", "1 while a missing report holds all verdicts.")
+	disruptedDesc = desc("disrupted", "1 while every zone looks dead.")
+	writesDesc    = desc("write_queue", "Records that wait to be written.")
+	machinesDesc  = desc("machines", "Machines by state.", "state")
+	waitingDesc   = desc("tasks_waiting", "Tasks without a machine.", "class")
+	placedDesc    = desc("tasks_placed", "Tasks that are, or may be, on a machine.", "class")
+	teamDesc      = desc("team_cpus", "CPUs that a team's tasks take.", "team")
+)
+
+func (c *collector) Describe(ch chan<- *prometheus.Desc) { prometheus.DescribeByCollect(c, ch) }
+
+func (c *collector) Collect(ch chan<- prometheus.Metric) {
+	ctx, cancel := context.WithTimeout(context.Background(), c.n.d.UserWait)
+	defer cancel()
+	s := c.n.status(ctx)
+	gauge := func(d *prometheus.Desc, v float64, labels ...string) {
+		ch <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v, labels...)
+	}
+	flag := func(b bool) float64 {
+		if b {
+			return 1
+		}
+		return 0
+	}
+	gauge(leadingDesc, flag(s.Leading))
+	if s.View == nil {
+		return
+	}
+	gauge(tokenDesc, float64(s.View.Token))
+	gauge(pictureDesc, s.View.PictureS)
+	gauge(heldDesc, flag(s.View.Held))
+	gauge(disruptedDesc, flag(s.View.Disrupted))
+	gauge(writesDesc, float64(s.View.WriteQueue))
+	states := map[string]float64{}
+	for _, m := range s.View.Machines {
+		states[m.State]++
+	}
+	for state, count := range states {
+		gauge(machinesDesc, count, state)
+	}
+	for _, cl := range s.View.Classes {
+		gauge(waitingDesc, float64(cl.Waiting), cl.Class)
+		gauge(placedDesc, float64(cl.Placed), cl.Class)
+	}
+	for _, t := range s.View.Teams {
+		gauge(teamDesc, t.CPUs, t.Team)
+	}
+}
+
+// handed is a listener whose connections are handed to it.
+type handed struct {
+	conns chan net.Conn
+	done  chan struct{}
+	once  sync.Once
+}
+
+func newHanded() *handed { return &handed{conns: make(chan net.Conn), done: make(chan struct{})} }
+
+func (h *handed) take(c net.Conn) {
+	select {
+	case h.conns <- c:
+	case <-h.done:
+		c.Close()
+	}
+}
+
+func (h *handed) Accept() (net.Conn, error) {
+	select {
+	case c := <-h.conns:
+		return c, nil
+	case <-h.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (h *handed) Close() error {
+	h.once.Do(func() { close(h.done) })
+	return nil
+}
+
+func (h *handed) Addr() net.Addr { return &net.TCPAddr{} }
+
+// serveDebug serves the operators' connections until the context ends.
+func (n *Node) serveDebug(ctx context.Context) {
+	srv := &http.Server{Handler: n.debugHandler(), ReadHeaderTimeout: n.d.UserWait, IdleTimeout: time.Minute}
+	stop := context.AfterFunc(ctx, func() { srv.Close() })
+	defer stop()
+	if err := srv.Serve(n.debug); !errors.Is(err, http.ErrServerClosed) && ctx.Err() == nil {
+		return
+	}
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -33,6 +33,8 @@
 
 	// Progress takes in the leader's counts.
 	Progress func(from string, counts map[string]jobs.Counts)
+	// HTTP takes over a connection on which somebody speaks HTTP; nil refuses.
+	HTTP func(net.Conn)
 	// Promise decides on an ask: whether this node keeps from taking the term.
 	Promise func(ctx context.Context, from string, token uint64) bool
 
@@ -167,7 +169,7 @@
 	defer cancel()
 	go func() {
 		defer cancel()
-		if err := h.read(c, func(m message) error {
+		if err := h.read(bufio.NewReader(c), func(m message) error {
 			if m.promise == nil {
 				return errors.New("unexpected message")
 			}
@@ -198,12 +200,27 @@
 	}
 }
 
-// serve answers on a connection on which another node speaks.
+// asHTTP is a connection whose first bytes have been read ahead.
+type asHTTP struct {
+	net.Conn
+	r *bufio.Reader
+}
+
+func (c *asHTTP) Read(p []byte) (int, error) { return c.r.Read(p) }
+
+// serve answers on a connection on which another node speaks, or hands it over
+// if it speaks HTTP: as a size, "GET " is far beyond any message.
 func (h *Hub) serve(ctx context.Context, c net.Conn) {
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	defer stop()
+	r := bufio.NewReader(c)
+	first, err := r.Peek(4)
+	if err == nil && string(first) == "GET " && h.HTTP != nil {
+		h.HTTP(&asHTTP{c, r})
+		return
+	}
 	defer c.Close()
-	err := h.read(c, func(m message) error {
+	err = h.read(r, func(m message) error {
 		if _, known := h.links[m.from]; !known {
 			return fmt.Errorf("unknown node %q", m.from)
 		}
@@ -223,8 +240,7 @@
 	}
 }
 
-func (h *Hub) read(c net.Conn, take func(message) error) error {
-	r := bufio.NewReader(c)
+func (h *Hub) read(r *bufio.Reader, take func(message) error) error {
 	var size [4]byte
 	for {
 		if _, err := io.ReadFull(r, size[:]); err != nil {
