--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -145,6 +145,7 @@
 	fresh    time.Time // the picture of the jobs is no older
 
 	writing   bool
+	stuck     bool // the last transaction was not executed, as far as is known
 	tokenMark uint64
 	raise     bool
 	mayResign bool
@@ -252,7 +253,7 @@
 			return
 		}
 		now := time.Now()
-		if l.replan && now.Sub(l.plannedAt) >= l.Derived.Report/32 {
+		if l.replan && l.mayBegin(now) && now.Sub(l.plannedAt) >= l.Derived.Report/32 {
 			l.place(now)
 		}
 		l.flush(ctx)
@@ -260,6 +261,12 @@
 	}
 }
 
+// mayBegin tells whether new work can be made durable. While it cannot, a plan
+// would stop tasks to make room that nothing can be placed in.
+func (l *Leader) mayBegin(now time.Time) bool {
+	return !l.stuck && now.Sub(l.Proven()) > l.Derived.TermLease
+}
+
 // load reads all records. The term is ours already, so that no earlier leader
 // can change them any more; users can, and the watch starts where load began.
 func (l *Leader) load(ctx context.Context) (after uint64, err error) {
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"log/slog"
 	"math"
 	"slices"
 	"time"
@@ -179,6 +180,7 @@
 func (l *Leader) assign(j *job, n int, m *machine, now time.Time) {
 	l.attempts++
 	a := &assignment{job: j, n: n, attempt: l.attempts, session: m.session, m: m, since: now, born: now}
+	slog.Debug("task placed", "task", a.name(), "machine", m.id, "term", l.token, "class", j.spec.Class)
 	l.count(a)
 	m.assigned[a.attempt] = a
 	j.tasks[n] = a
--- a/internal/control/tasks.go
+++ b/internal/control/tasks.go
@@ -134,6 +134,7 @@
 		// One run is sent in one order only, so that one seen is one used up.
 		a.doubt, a.sent = 0, true
 		if a.seen != t.State {
+			slog.Debug("task seen", "task", a.name(), "machine", m.id, "term", l.token, "state", t.State)
 			if t.State == workers.Running {
 				if a.seen == workers.Fetching || !a.restored {
 					a.since = now
--- a/internal/control/write.go
+++ b/internal/control/write.go
@@ -221,6 +221,7 @@
 
 // written takes in the outcome of a transaction.
 func (l *Leader) written(ctx context.Context, b *batch, rev uint64, failed []string, err error) {
+	l.stuck = err != nil
 	if err == nil && len(failed) == 0 {
 		l.writing = false
 		for _, f := range b.done {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -270,7 +270,12 @@
 	if v.Spec.Rank() < j.Spec.Rank() {
 		return true
 	}
-	// A team gets its guarantee from what another runs beyond its own.
+	// A team gets its guarantee from what another runs beyond its own, but not at
+	// the cost of a production service: its users notice at once, and a batch
+	// job can wait for the next task to end.
+	if v.Spec.Priority == jobs.Prod && j.Spec.Priority != jobs.Prod {
+		return false
+	}
 	return j.Guaranteed && !v.Guaranteed && v.Spec.Team != j.Spec.Team && in.beyond(v.Spec.Team)
 }
 
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -126,6 +126,14 @@
 			j.Guaranteed = true
 			in.Machines, in.Jobs = []*Machine{m}, []*Job{j}
 		}, "stop j-1/0@a1"},
+		{"but no production service", func(in *Input) {
+			m := box("a1", 4)
+			running(m, job("j-1", 1, 4, func(s *jobs.Spec) { s.Team, s.Priority, s.Shape = "blue", jobs.Prod, jobs.Service }), 0, 1)
+			in.Used["blue"] = Amount{CPUs: 8}
+			j := job("j-2", 1, 2, nil)
+			j.Guaranteed = true
+			in.Machines, in.Jobs = []*Machine{m}, []*Job{j}
+		}, "unmet j-2 1"},
 		{"but not what is the other's own", func(in *Input) {
 			m := box("a1", 4)
 			running(m, job("j-1", 1, 4, func(s *jobs.Spec) { s.Team = "blue" }), 0, 1)
