Users are sent away from a node that the state service refuses alone

The leader says with its counts whether it is served; a node that is not, and hears that, is not ready. In an outage of all, every node stays ready: ruled out by the load balancer's pauses before it comes back.

--- a/internal/control/model.go
+++ b/internal/control/model.go
@@ -209,6 +209,7 @@
 	seq                 uint64
 	token               uint64 // highest the worker has shown
 	picture             []workers.Task
+	reported            time.Time // when its last report came
 	leaseUntil          time.Time // by then a worker unheard has ended its tasks
 	assigned            map[uint64]*assignment
 	room                placement.Amount // taken by assignments
--- a/internal/control/tasks.go
+++ b/internal/control/tasks.go
@@ -244,7 +244,7 @@
 	if l.observe(m, r, now) {
 		l.replan = true
 	}
-	m.leaseUntil = now.Add(l.Derived.LeaseOver)
+	m.reported, m.leaseUntil = now, now.Add(l.Derived.LeaseOver)
 	return &workers.Answer{Token: l.token, Calls: l.calls(m, true)}
 }
 
--- a/internal/jobs/api.go
+++ b/internal/jobs/api.go
@@ -26,6 +26,8 @@
 	Catalog func() []MachineType
 	// Counts returns a job's counts for display, where this node knows them.
 	Counts func(id string) (Counts, bool)
+	// Ready tells whether users should come to this node.
+	Ready func() bool
 
 	slots chan struct{}
 }
@@ -37,7 +39,13 @@
 	mux.HandleFunc("POST /v1/jobs", a.limited(a.submit))
 	mux.HandleFunc("GET /v1/jobs/{id}", a.limited(a.show))
 	mux.HandleFunc("POST /v1/jobs/{id}/withdraw", a.limited(a.withdraw))
-	mux.HandleFunc("GET /up", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /up", func(w http.ResponseWriter, _ *http.Request) {
+		if a.Ready() {
+			w.WriteHeader(http.StatusOK)
+		} else {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
 }
 
 func (a *API) limited(next func(context.Context, http.ResponseWriter, *http.Request)) http.HandlerFunc {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -54,6 +54,8 @@
 	listen  func(addr string) (net.Listener, error)
 	hub     *peer.Hub
 	debug   *handed
+	born    time.Time
+	served  atomic.Int64 // when, since born, the leader last said that the state service answers it
 	catalog atomic.Pointer[[]jobs.MachineType]
 }
 
@@ -93,7 +95,7 @@
 	if w.Listen == nil {
 		w.Listen = func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
 	}
-	n := &Node{set: set, d: d, listen: w.Listen, counts: control.NewCounts(), gate: &control.Gate{}}
+	n := &Node{set: set, d: d, listen: w.Listen, born: time.Now(), counts: control.NewCounts(), gate: &control.Gate{}}
 	n.workers = workers.NewClient(pick(2), d.CallWait)
 	n.store = state.New(set.Endpoints.State, pick(16), d.StateWait, state.Budget{
 		Requests: requestShare * set.Deployment.State.RPS,
@@ -106,9 +108,13 @@
 	n.debug = newHanded()
 	n.hub.HTTP = n.debug.take
 	n.hub.Promise = func(ctx context.Context, _ string, token uint64) bool { return n.keeper.Promise(ctx, token) }
-	n.hub.Progress = func(from string, counts map[string]jobs.Counts) {
-		if !n.keeper.Valid() {
-			n.counts.Replace(counts)
+	n.hub.Progress = func(from string, p peer.Progress) {
+		if n.keeper.Valid() {
+			return
+		}
+		n.counts.Replace(p.Counts)
+		if p.Served {
+			n.served.Store(time.Since(n.born).Nanoseconds())
 		}
 	}
 	if len(set.Peers) == set.Deployment.Nodes-1 {
@@ -161,7 +167,7 @@
 // Handler serves users and workers.
 func (n *Node) Handler() http.Handler {
 	mux := http.NewServeMux()
-	users := &jobs.API{Settings: n.set, Derived: n.d, Store: n.store, Catalog: n.types, Counts: n.counts.Get}
+	users := &jobs.API{Settings: n.set, Derived: n.d, Store: n.store, Catalog: n.types, Counts: n.counts.Get, Ready: n.ready}
 	users.Register(mux)
 	reports := &workers.Handler{Answer: n.gate.Report, Leader: func() string {
 		if l := n.keeper.Leader(); l != n.set.Node {
@@ -177,7 +183,7 @@
 func (n *Node) Work(ctx context.Context, cluster net.Listener) {
 	deps := control.Deps{
 		Settings: n.set, Derived: n.d, Store: n.store, Cloud: n.cloud,
-		Workers: n.workers, Valid: n.keeper.Valid, Proven: n.keeper.Proven, Publish: n.hub.Publish, Catalog: n.types, Counts: n.counts,
+		Workers: n.workers, Valid: n.keeper.Valid, Proven: n.keeper.Proven, Publish: n.publish, Catalog: n.types, Counts: n.counts,
 	}
 	var duties sync.WaitGroup
 	duties.Go(func() { n.hub.Run(ctx, cluster) })
@@ -194,6 +200,21 @@
 	duties.Wait()
 }
 
+func (n *Node) publish(counts map[string]jobs.Counts) {
+	n.hub.Publish(peer.Progress{Counts: counts, Served: !n.store.Failing()})
+}
+
+// ready tells whether this node can take requests. One that the state service
+// alone refuses sends its users to others; in an outage of all it stays, since
+// users would only find nobody, and come back later than the service does.
+func (n *Node) ready() bool {
+	if !n.store.Failing() {
+		return true
+	}
+	at := time.Duration(n.served.Load())
+	return at == 0 || time.Since(n.born)-at > 2*n.d.Report
+}
+
 func (n *Node) types() []jobs.MachineType {
 	if t := n.catalog.Load(); t != nil {
 		return *t
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -381,6 +381,39 @@
 	})
 }
 
+// Users go to other nodes while the state service refuses this one alone; in an
+// outage of all, no node turns them away.
+func TestReadiness(t *testing.T) {
+	inCluster(t, nil, func(c *cluster) {
+		up := func(node string) bool {
+			status, _ := c.ask("GET", node, "/up", nil)
+			return status == http.StatusOK
+		}
+		follower := c.names[0]
+		if follower == c.leader() {
+			follower = c.names[1]
+		}
+		c.world.State.RefuseFrom(follower, true)
+		c.ask("GET", follower, "/v1/jobs/j-1", nil)
+		c.within(5*time.Second, "the refused node is not ready", func() bool { return !up(follower) })
+		c.world.State.RefuseFrom(follower, false)
+		c.within(5*time.Second, "ready again", func() bool { return up(follower) })
+		c.world.State.Down(true)
+		for range 20 {
+			c.run(500 * time.Millisecond)
+			for _, n := range c.names {
+				c.ask("GET", n, "/v1/jobs/j-1", nil)
+			}
+		}
+		for _, n := range c.names {
+			if !up(n) {
+				t.Errorf("%s turns users away in an outage of all", n)
+			}
+		}
+		c.world.State.Down(false)
+	})
+}
+
 // Operators read the leader's view on the cluster listener, beside the peers.
 func TestStatusAndMetrics(t *testing.T) {
 	inCluster(t, nil, func(c *cluster) {
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -13,11 +13,17 @@
 // message is one decoded message; one of its parts is set.
 type message struct {
 	from     string
-	progress map[string]jobs.Counts
+	progress *Progress
 	ask      *ask
 	promise  *promise
 }
 
+// Progress is what a leader publishes.
+type Progress struct {
+	Counts map[string]jobs.Counts
+	Served bool // the state service answers the leader
+}
+
 type ask struct{ number, token uint64 }
 
 type promise struct {
@@ -35,10 +41,10 @@
 	return b.FinishedBytes()
 }
 
-func encodeProgress(from string, counts map[string]jobs.Counts) []byte {
-	b := flatbuffers.NewBuilder(64 * (1 + len(counts)))
-	rows := make([]flatbuffers.UOffsetT, 0, len(counts))
-	for id, c := range counts {
+func encodeProgress(from string, p Progress) []byte {
+	b := flatbuffers.NewBuilder(64 * (1 + len(p.Counts)))
+	rows := make([]flatbuffers.UOffsetT, 0, len(p.Counts))
+	for id, c := range p.Counts {
 		key := b.CreateString(id)
 		wire.JobCountsStart(b)
 		wire.JobCountsAddId(b, key)
@@ -53,6 +59,7 @@
 	vector := b.EndVector(len(rows))
 	wire.ProgressStart(b)
 	wire.ProgressAddJobs(b, vector)
+	wire.ProgressAddServed(b, p.Served)
 	return finish(b, from, wire.BodyProgress, wire.ProgressEnd(b))
 }
 
@@ -90,11 +97,11 @@
 	case wire.BodyProgress:
 		var p wire.Progress
 		p.Init(body.Bytes, body.Pos)
-		m.progress = make(map[string]jobs.Counts, p.JobsLength())
+		m.progress = &Progress{Counts: make(map[string]jobs.Counts, p.JobsLength()), Served: p.Served()}
 		var row wire.JobCounts
 		for i := range p.JobsLength() {
 			if p.Jobs(&row, i) {
-				m.progress[string(row.Id())] = jobs.Counts{Done: int(row.Done()), Running: int(row.Running())}
+				m.progress.Counts[string(row.Id())] = jobs.Counts{Done: int(row.Done()), Running: int(row.Running())}
 			}
 		}
 	case wire.BodyAsk:
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -14,7 +14,6 @@
 	"sync"
 	"time"
 
-	"ospreyslip/internal/jobs"
 	"ospreyslip/internal/settings"
 )
 
@@ -32,7 +31,7 @@
 	links map[string]*link
 
 	// Progress takes in the leader's counts.
-	Progress func(from string, counts map[string]jobs.Counts)
+	Progress func(from string, p Progress)
 	// HTTP takes over a connection on which somebody speaks HTTP; nil refuses.
 	HTTP func(net.Conn)
 	// Promise decides on an ask: whether this node keeps from taking the term.
@@ -91,8 +90,8 @@
 
 // Publish sends the counts to all others. One that does not keep up misses
 // some; each message holds all that matters.
-func (h *Hub) Publish(counts map[string]jobs.Counts) {
-	raw := encodeProgress(h.self, counts)
+func (h *Hub) Publish(p Progress) {
+	raw := encodeProgress(h.self, p)
 	for _, l := range h.links {
 		select {
 		case l.out <- raw:
@@ -226,7 +225,7 @@
 		}
 		switch {
 		case m.progress != nil:
-			h.Progress(m.from, m.progress)
+			h.Progress(m.from, *m.progress)
 		case m.ask != nil:
 			given := h.Promise(ctx, m.from, m.ask.token)
 			_ = c.SetWriteDeadline(time.Now().Add(4 * h.retry))
--- a/internal/peer/wire/Progress.go
+++ b/internal/peer/wire/Progress.go
@@ -53,8 +53,20 @@
 	return 0
 }
 
+func (rcv *Progress) Served() bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(6))
+	if o != 0 {
+		return rcv._tab.GetBool(o + rcv._tab.Pos)
+	}
+	return false
+}
+
+func (rcv *Progress) MutateServed(n bool) bool {
+	return rcv._tab.MutateBoolSlot(6, n)
+}
+
 func ProgressStart(builder *flatbuffers.Builder) {
-	builder.StartObject(1)
+	builder.StartObject(2)
 }
 func ProgressAddJobs(builder *flatbuffers.Builder, jobs flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(jobs), 0)
@@ -62,6 +74,9 @@
 func ProgressStartJobsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
 	return builder.StartVector(4, numElems, 4)
 }
+func ProgressAddServed(builder *flatbuffers.Builder, served bool) {
+	builder.PrependBoolSlot(1, served, false)
+}
 func ProgressEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -12,6 +12,8 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -65,8 +67,13 @@
 	wait   time.Duration
 	writes *rate.Limiter
 	reqs   *rate.Limiter
+
+	failing atomic.Bool // the last request that tells had no good answer
 }
 
+// Failing tells whether the service has stopped answering this node.
+func (c *Client) Failing() bool { return c.failing.Load() }
+
 // Budget is this node's part of what the state service takes from all.
 type Budget struct{ Requests, Writes float64 }
 
@@ -114,9 +121,15 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
+		c.failing.Store(true)
 		return 0, fmt.Errorf("%w: %v", ErrUnknown, err)
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusServiceUnavailable {
+		c.failing.Store(true)
+	} else if !strings.HasPrefix(path, "/watch") {
+		c.failing.Store(false) // an open watch ends in an outage, too
+	}
 	raw, err := io.ReadAll(resp.Body)
 	if err != nil {
 		return 0, fmt.Errorf("%w: %v", ErrUnknown, err)
