Slow machines: found by the siblings of their tasks, then no batch work

Tasks of one job differ by a fifth (measured over 107 arrays), so that twice the siblings' mean tells. Ruled out: judging by the owner's estimate, which is off by more than that.

--- a/internal/control/model.go
+++ b/internal/control/model.go
@@ -52,6 +52,8 @@
 	next      int                 // no task below is pending for the first time
 	again     []int               // lost or stopped tasks, to be placed again
 	zones     map[string]int
+	ranS      float64 // what its completed tasks took in all
+	ranCount  int
 	errors    int // failures in a row, over all machines
 	notBefore time.Time
 	shown     jobs.Counts
@@ -219,6 +221,7 @@
 	dirty               bool
 	dead                bool // the verdict is out
 	draining            bool
+	slow                bool // runs tasks much slower than others do: no batch work
 	noticeUntil         time.Time
 	known               time.Time // when this leader learnt of it
 	idleSince           time.Time
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -131,6 +131,9 @@
 func (l *Leader) tick(ctx context.Context, now time.Time) {
 	l.expire(now)
 	l.doubts(now)
+	if l.mayBegin(now) {
+		l.findSlow(now)
+	}
 	calls, verdicts := l.watch.Tick(now)
 	for _, id := range calls {
 		m := l.machines[id]
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -63,6 +63,8 @@
 	if a.since.Equal(a.born) || a.job.spec.EstimateS <= 0 || took <= 0 {
 		return // nobody saw it start
 	}
+	a.job.ranS += took
+	a.job.ranCount++
 	class, off := a.job.spec.Class, math.Log(took/a.job.spec.EstimateS)
 	l.bias[class] += biasWeight * (off - l.bias[class])
 }
@@ -136,6 +138,7 @@
 	if t := l.machineType(m.typ); t != nil {
 		p.Total = placement.Amount{CPUs: t.CPUs, GPUs: t.GPUs, RAMGB: t.RAMGB}
 	}
+	p.Slow = m.slow
 	p.Free = p.Total.Plus(m.room, -1)
 	for image := range m.images {
 		p.Images[image] = true
@@ -168,6 +171,44 @@
 	return p
 }
 
+// Ratios for finding slow machines. Tasks of one job take much the same time.
+const (
+	slowRatio   = 2.0 // a task that runs so many times as long as its siblings shows a slow machine
+	slowSamples = 2   // siblings that must have completed before that is judged
+)
+
+// findSlow finds machines that run tasks much slower than others, and takes the
+// batch work off them that would be over sooner elsewhere.
+func (l *Leader) findSlow(now time.Time) {
+	for _, m := range l.machines {
+		if m.phase != up || m.slow {
+			continue
+		}
+		for _, a := range m.assigned {
+			took := now.Sub(a.since).Seconds()
+			if a.outcome == open && a.seen == workers.Running && !a.restored && a.job.ranCount >= slowSamples &&
+				took > slowRatio*a.job.ranS/float64(a.job.ranCount) {
+				slog.Info("machine slow", "machine", m.id, "term", l.token, "task", a.name(), "reason", "its siblings took half as long or less")
+				m.slow = true
+				break
+			}
+		}
+		if !m.slow {
+			continue
+		}
+		services := false
+		for _, a := range m.assigned {
+			if a.job.spec.Shape != jobs.Batch {
+				services = true
+			} else if took := now.Sub(a.since).Seconds(); !a.stop && (took < l.runS(a.job.spec) || took > slowRatio*l.runS(a.job.spec)) {
+				l.stop(a, a.job.spec.SaveS)
+			}
+		}
+		m.draining = m.draining || !services
+		l.replan = true
+	}
+}
+
 func (l *Leader) machineType(name string) *jobs.MachineType {
 	types := l.Catalog()
 	i := slices.IndexFunc(types, func(t jobs.MachineType) bool { return t.Name == name })
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -381,6 +381,16 @@
 	})
 }
 
+// A slow machine is found by the siblings of its tasks, which then run elsewhere.
+func TestSlowMachine(t *testing.T) {
+	inCluster(t, nil, func(c *cluster) {
+		c.submit("perch-0", batch("j-1", 12, 20))
+		c.within(60*time.Second, "running", func() bool { return c.on("j-1", 12) >= 8 })
+		c.world.Worker(c.world.On("j-1/0")[0]).Slow(20)
+		c.withinDone(120*time.Second, "j-1")
+	})
+}
+
 // Users go to other nodes while the state service refuses this one alone; in an
 // outage of all, no node turns them away.
 func TestReadiness(t *testing.T) {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -33,6 +33,7 @@
 type Machine struct {
 	ID, Type, Zone string
 	Spot           bool
+	Slow           bool // not for batch tasks
 	Total, Free    Amount
 	Freeing        Amount // of tasks told to stop
 	Images         map[string]bool
@@ -216,6 +217,12 @@
 	return j.Zones[zone] < j.Spec.ZoneLimit()
 }
 
+// open tells whether a machine is one for the job, room aside.
+func (m *Machine) open(j *Job) bool {
+	return j.Spec.Allows(m.Type, m.Zone, m.Spot) && !m.Avoid[j.Spec.ID] && zoneOpen(j, m.Zone) &&
+		(!m.Slow || j.Spec.Shape == jobs.Service)
+}
+
 // choose returns the fullest machine that fits. A service starts sooner where
 // its image is, so that goes first for it and breaks ties for others.
 func (in *Input) choose(j *Job) *Machine {
@@ -223,7 +230,7 @@
 	var best *Machine
 	var bestKey [3]float64
 	for _, m := range in.Machines {
-		if !j.Spec.Allows(m.Type, m.Zone, m.Spot) || m.Avoid[j.Spec.ID] || !m.Free.Fits(need) || !zoneOpen(j, m.Zone) {
+		if !m.open(j) || !m.Free.Fits(need) {
 			continue
 		}
 		image := 1.0
@@ -294,7 +301,7 @@
 		var bestStops []*Placed
 		cost := 0.0
 		for _, m := range in.Machines {
-			if !j.Spec.Allows(m.Type, m.Zone, m.Spot) || m.Avoid[j.Spec.ID] || !zoneOpen(j, m.Zone) {
+			if !m.open(j) {
 				continue
 			}
 			stops, c, ok := in.victims(j, m, need)
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -148,6 +148,12 @@
 			in.Machines = []*Machine{m}
 			in.Jobs = []*Job{job("j-2", 1, 4, prod), job("j-3", 1, 1, nil)}
 		}, "unmet j-3 1"},
+		{"a slow machine is for services only", func(in *Input) {
+			m := box("a1", 4)
+			m.Slow = true
+			in.Machines = []*Machine{m}
+			in.Jobs = []*Job{job("j-1", 1, 1, nil), job("j-2", 1, 1, prod)}
+		}, "j-2/0>a1 unmet j-1 1"},
 		{"a machine that a job should avoid", func(in *Input) {
 			m := box("a1", 4)
 			m.Avoid["j-1"] = true
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -39,6 +39,7 @@
 	images   map[string]bool
 	answered time.Time // when the last report that got an answer was sent
 	hung     bool
+	slowness float64 // tasks take so many times as long
 	dead     bool
 	cancel   context.CancelFunc
 	nudge    chan struct{}
@@ -148,7 +149,7 @@
 			w.world.started(w, t.Task)
 			w.poke()
 		}
-		if t.State == workers.Running && job.Shape == jobs.Batch && (w.world.wasDone(id, n) || now.Sub(t.since).Seconds() >= job.EstimateS) {
+		if t.State == workers.Running && job.Shape == jobs.Batch && (w.world.wasDone(id, n) || now.Sub(t.since).Seconds() >= job.EstimateS*max(1, w.slowness)) {
 			w.end(t, workers.CauseDone)
 		}
 		if t.State == workers.Saving && !now.Before(t.saves) {
@@ -271,6 +272,13 @@
 	send(rw, status, w.report())
 }
 
+// Slow makes tasks take so many times as long.
+func (w *Worker) Slow(times float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.slowness = times
+}
+
 // Hang stops a machine, or lets it go on. It can go on within its lease only.
 func (w *Worker) Hang(on bool) {
 	w.mu.Lock()
