--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -115,24 +115,86 @@
 	}
 }
 
-// An order may be executed a minute after it was given up. By then its task
-// has run elsewhere, and the worker must have seen a higher token.
+// An order may be executed long after it was given up. By then its task has run,
+// and its end has been cleared: only a higher token, seen by the worker in the
+// meantime, keeps the order from starting it once more.
 func TestOrderArrivesLate(t *testing.T) {
 	inCluster(t, nil, func(c *cluster) {
-		c.submit("perch-0", batch("j-1", 2, 5))
-		c.withinDone(60*time.Second, "j-1")
-		c.world.Net.Faults(func(from, to, path string) standin.Fault {
+		c.submit("perch-0", batch("j-1", 4, 300)) // keeps its machines
+		c.within(60*time.Second, "running", func() bool { return c.on("j-1", 4) == 4 })
+		c.submit("perch-0", batch("j-2", 4, 30)) // makes room beside it
+		c.withinDone(120*time.Second, "j-2")
+		c.world.Net.Lateness = 15 * time.Second
+		c.world.Net.Faults(func(_, _, path string) standin.Fault {
 			if path == "/orders" {
 				return standin.Late
 			}
 			return standin.Deliver
 		})
-		c.submit("perch-0", batch("j-2", 6, 10))
-		c.withinDone(90*time.Second, "j-2")
-		c.world.Net.Faults(nil)
-		c.run(2 * time.Minute)
-		if n := c.world.Starts(); n != 8 {
-			t.Errorf("%d starts for 8 tasks", n)
+		before := c.world.Starts()
+		c.submit("perch-0", batch("j-3", 2, 2))
+		c.withinDone(60*time.Second, "j-3")
+		c.run(30 * time.Second)
+		if n := c.world.Starts() - before; n != 2 {
+			t.Errorf("%d starts for 2 tasks", n)
+		}
+	})
+}
+
+// What an old leader wrote may reach the state service after its successor has
+// read the records. It must not be applied: nobody would know of it.
+func TestOldLeaderWritesLate(t *testing.T) {
+	inCluster(t, nil, func(c *cluster) {
+		c.submit("perch-0", batch("j-1", 4, 10))
+		c.withinDone(60*time.Second, "j-1")
+		old := c.leader()
+		c.world.Net.Lateness = 8 * time.Second
+		c.world.Net.Faults(func(from, _, path string) standin.Fault {
+			if from == old && path == "/commit" {
+				return standin.Late
+			}
+			return standin.Deliver
+		})
+		other := c.names[0]
+		if other == old {
+			other = c.names[1]
+		}
+		c.submit(other, batch("j-2", 2, 1))
+		c.run(time.Second)
+		c.crash(old)
+		c.withinDone(60*time.Second, "j-2")
+		c.within(90*time.Second, "machines returned", func() bool { return len(c.world.Machines()) == 0 })
+		if keys := c.world.State.Keys("machine/"); len(keys) > 0 {
+			t.Errorf("the old leader's assignments were recorded late: %v", keys)
+		}
+	})
+}
+
+// A cancellation that reaches the state service after the job is done must not
+// turn it back, nor may its user be told that it was cancelled.
+func TestCancelRacesDone(t *testing.T) {
+	inCluster(t, nil, func(c *cluster) {
+		c.submit("perch-0", batch("j-1", 2, 12))
+		c.within(40*time.Second, "running", func() bool { return c.on("j-1", 2) == 2 })
+		c.run(11 * time.Second)
+		node := c.names[0]
+		if node == c.leader() {
+			node = c.names[1]
+		}
+		c.world.Net.Lateness = 3 * time.Second
+		c.world.Net.Faults(func(from, _, path string) standin.Fault {
+			if from == node && path == "/commit" {
+				return standin.Late
+			}
+			return standin.Deliver
+		})
+		if status, view := c.ask("POST", node, "/v1/jobs/j-1/withdraw", nil); status == http.StatusOK && view["stance"] != "done" {
+			t.Errorf("told %v", view)
+		}
+		c.withinDone(10*time.Second, "j-1")
+		c.run(10 * time.Second)
+		if got := c.stance("j-1"); got != jobs.Done {
+			t.Errorf("done went back to %s", got)
 		}
 	})
 }
@@ -363,8 +425,9 @@
 
 // Many tasks in one job: completions are kept in chunks that fit a value.
 func TestManyTasks(t *testing.T) {
-	tweak := func(s *settings.Settings) { s.Deployment.State.ValueKB = 1 }
+	tweak := func(s *settings.Settings) { s.Deployment.State.ValueKB, s.Deployment.State.TxnOps = 1, 4 }
 	inCluster(t, tweak, func(c *cluster) {
+		c.world.State.TxnOps = 4 // fewer than there are machines
 		c.submit("perch-0", batch("j-1", 2500, 0.5))
 		c.run(45 * time.Second)
 		c.crash(c.leader())
