Promises are asked for under the newest token

Ruled out: load on the machine, the crash of all at 167 s (the term had ended at 152 s). Test: TestOutageAfterRaisedToken fails without it.

--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -31,6 +31,7 @@
 	// Proven is when no node could reach the state service: until then no user
 	// can have been told of a cancellation that this node has not seen.
 	Proven  func() time.Time
+	Raised  func(token uint64) // told of a token raised within the term
 	Publish func(map[string]jobs.Counts)
 	Catalog func() []jobs.MachineType
 	Counts  *Counts
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -183,7 +183,7 @@
 func (n *Node) Work(ctx context.Context, cluster net.Listener) {
 	deps := control.Deps{
 		Settings: n.set, Derived: n.d, Store: n.store, Cloud: n.cloud,
-		Workers: n.workers, Valid: n.keeper.Valid, Proven: n.keeper.Proven, Publish: n.publish, Catalog: n.types, Counts: n.counts,
+		Workers: n.workers, Valid: n.keeper.Valid, Proven: n.keeper.Proven, Raised: n.keeper.Raised, Publish: n.publish, Catalog: n.types, Counts: n.counts,
 	}
 	var duties sync.WaitGroup
 	duties.Go(func() { n.hub.Run(ctx, cluster) })
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -329,6 +329,34 @@
 	})
 }
 
+// A token raised within the term, to end a doubt, must not make the others take
+// the holder for one that has been succeeded, and refuse their promises.
+func TestOutageAfterRaisedToken(t *testing.T) {
+	inCluster(t, nil, func(c *cluster) {
+		c.allUp()
+		c.world.Net.Faults(func(_, _, path string) standin.Fault {
+			if path == "/orders" {
+				return standin.Late
+			}
+			return standin.Deliver
+		})
+		token := string(c.world.State.Value("term/token"))
+		c.submit("perch-0", batch("j-3", 2, 1))
+		c.withinDone(60*time.Second, "j-3")
+		if string(c.world.State.Value("term/token")) == token {
+			t.Fatal("no token was raised")
+		}
+		c.world.Net.Faults(nil)
+		c.run(10 * time.Second)
+		c.world.State.Down(true)
+		c.run(time.Minute)
+		c.world.State.Down(false)
+		if n := c.on("j-1", 2); n != 2 {
+			t.Errorf("%d of 2 replicas after the outage", n)
+		}
+	})
+}
+
 // allUp starts a service and an array and waits until all their tasks run.
 func (c *cluster) allUp() {
 	c.t.Helper()
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -61,6 +61,7 @@
 	proven atomic.Int64 // all others were without the state service at base+proven
 	holder atomic.Pointer[Holder]
 	vow    vow
+	token  atomic.Uint64 // of the term that this node holds, as raised since
 
 	// AllPromise asks all other nodes for a promise; nil means that there are
 	// none to be had.
@@ -93,6 +94,11 @@
 	return time.Time{}
 }
 
+// Raised notes that the holder has raised the token within its term. Questions
+// for promises carry the newest: by an older one, the others would take the
+// holder for one that has been succeeded.
+func (k *Keeper) Raised(token uint64) { k.token.Store(token) }
+
 // Leader names the node that held the term when last seen, or is empty.
 func (k *Keeper) Leader() string {
 	if h := k.holder.Load(); h != nil {
@@ -216,6 +222,7 @@
 	}
 	self := &Holder{Node: k.node, Life: k.life, Token: t.Token}
 	k.holder.Store(self)
+	k.token.Store(t.Token)
 	slog.Info("term taken", "term", t.Token)
 	leadCtx, stop := context.WithCancel(ctx)
 	done := make(chan struct{})
@@ -295,7 +302,7 @@
 				try, cancel := context.WithTimeout(ctx, min(left, 3*k.timing.Renew))
 				defer cancel()
 				o := outcome{sent: now}
-				if !k.AllPromise(try, token) {
+				if !k.AllPromise(try, k.token.Load()) {
 					o.err = errors.New("not promised")
 				}
 				promises <- o
