Slow machines: judge tasks of earlier leaders, too

Cause: after a take-over all running tasks were passed over, so that three slow machines kept theirs for the rest of their time.

--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -177,6 +177,16 @@
 	slowSamples = 2   // siblings that must have completed before that is judged
 )
 
+// tooLong is how long a task may run before its machine looks slow. Without
+// siblings nothing is known: an estimate that is off by much would send the task
+// from machine to machine, each of them suspected in vain.
+func tooLong(j *job) float64 {
+	if j.ranCount < slowSamples {
+		return math.Inf(1)
+	}
+	return slowRatio * j.ranS / float64(j.ranCount)
+}
+
 // findSlow finds machines that run tasks much slower than others, and takes the
 // batch work off them that would be over sooner elsewhere.
 func (l *Leader) findSlow(now time.Time) {
@@ -186,9 +196,9 @@
 		}
 		for _, a := range m.assigned {
 			took := now.Sub(a.since).Seconds()
-			if a.outcome == open && a.seen == workers.Running && !a.restored && a.job.ranCount >= slowSamples &&
-				took > slowRatio*a.job.ranS/float64(a.job.ranCount) {
-				slog.Info("machine slow", "machine", m.id, "term", l.token, "task", a.name(), "reason", "its siblings took half as long or less")
+			// What an earlier leader began has run for longer than we have seen.
+			if a.outcome == open && a.seen == workers.Running && a.job.spec.Shape == jobs.Batch && took > tooLong(a.job) {
+				slog.Info("machine slow", "machine", m.id, "term", l.token, "task", a.name(), "ranS", took)
 				m.slow = true
 				break
 			}
