--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -52,7 +52,6 @@
 			l.machines[e.ID] = m
 			slog.Info("machine found in the list", "machine", m.id, "term", l.token, "state", e.State)
 		}
-		m.listed = true
 		if m.addr == "" {
 			m.addr = e.Addr
 		}
--- a/internal/control/model.go
+++ b/internal/control/model.go
@@ -206,7 +206,6 @@
 	id, addr, typ, zone string
 	spot                bool
 	phase               phase
-	total               placement.Amount
 	session             uint64
 	seq                 uint64
 	token               uint64 // highest the worker has shown
@@ -225,7 +224,6 @@
 	noticeUntil         time.Time
 	known               time.Time // when this leader learnt of it
 	idleSince           time.Time
-	listed              bool
 	poke                bool // has something to be told at once
 	orderBusy           bool
 	orderAfter          time.Time
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -45,7 +45,7 @@
 // until a report shows them or the worker has seen a higher token.
 func (l *Leader) ordered(m *machine, o workers.Order, r *workers.Report, ok bool, err error, now time.Time) {
 	m.orderBusy = false
-	neverSent := ok == false && err == nil
+	neverSent := !ok && err == nil
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
 		neverSent = true // a connection attempt that was given up does not complete later
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -55,21 +55,10 @@
 	return rent
 }
 
-func zoneOpen(s *jobs.Spec, zones map[string]int, zone string) bool {
-	if s.OneZone {
-		for z, n := range zones {
-			if n > 0 && z != zone {
-				return false
-			}
-		}
-	}
-	return zones[zone] < s.ZoneLimit()
-}
-
 func pick(s *jobs.Spec, zones map[string]int, coming []Coming) int {
 	best := -1
 	for i, m := range coming {
-		if s.Allows(m.Type, m.Zone, m.Spot) && m.Free.Fits(placement.Of(s)) && zoneOpen(s, zones, m.Zone) &&
+		if s.Allows(m.Type, m.Zone, m.Spot) && m.Free.Fits(placement.Of(s)) && placement.ZoneOpen(s, zones, m.Zone) &&
 			(best < 0 || m.Free.CPUs < coming[best].Free.CPUs) {
 			best = i
 		}
@@ -92,7 +81,7 @@
 		for _, zone := range t.Zones {
 			for _, spot := range []bool{false, true} {
 				k := Kind{t.Name, zone, spot}
-				if !s.Allows(t.Name, zone, spot) || !zoneOpen(s, zones, zone) || mk.Refused(k) {
+				if !s.Allows(t.Name, zone, spot) || !placement.ZoneOpen(s, zones, zone) || mk.Refused(k) {
 					continue
 				}
 				price := t.Price
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -168,7 +168,7 @@
 	defer cancel()
 	go func() {
 		defer cancel()
-		if err := h.read(bufio.NewReader(c), func(m message) error {
+		err := h.read(bufio.NewReader(c), func(m message) error {
 			if m.promise == nil {
 				return errors.New("unexpected message")
 			}
@@ -180,9 +180,8 @@
 				reply <- m.promise.given
 			}
 			return nil
-		}); err != nil {
-			slog.Debug("peer connection ended", "peer", l.addr, "reason", err)
-		}
+		})
+		slog.Debug("peer connection ended", "peer", l.addr, "reason", err)
 	}()
 	for {
 		select {
@@ -234,11 +233,10 @@
 		}
 		return nil
 	})
-	if err != nil && ctx.Err() == nil {
-		slog.Debug("peer connection ended", "reason", err)
-	}
+	slog.Debug("peer connection ended", "reason", err)
 }
 
+// read takes in messages until the connection ends, and returns why it did.
 func (h *Hub) read(r *bufio.Reader, take func(message) error) error {
 	var size [4]byte
 	for {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -205,21 +205,22 @@
 	return n
 }
 
-// zoneOpen tells whether the job may have one more task in the zone.
-func zoneOpen(j *Job, zone string) bool {
-	if j.Spec.OneZone {
-		for z, n := range j.Zones {
+// ZoneOpen tells whether a job with tasks in some zones may have one more in
+// this one.
+func ZoneOpen(s *jobs.Spec, zones map[string]int, zone string) bool {
+	if s.OneZone {
+		for z, n := range zones {
 			if n > 0 && z != zone {
 				return false
 			}
 		}
 	}
-	return j.Zones[zone] < j.Spec.ZoneLimit()
+	return zones[zone] < s.ZoneLimit()
 }
 
 // open tells whether a machine is one for the job, room aside.
 func (m *Machine) open(j *Job) bool {
-	return j.Spec.Allows(m.Type, m.Zone, m.Spot) && !m.Avoid[j.Spec.ID] && zoneOpen(j, m.Zone) &&
+	return j.Spec.Allows(m.Type, m.Zone, m.Spot) && !m.Avoid[j.Spec.ID] && ZoneOpen(j.Spec, j.Zones, m.Zone) &&
 		(!m.Slow || j.Spec.Shape == jobs.Service)
 }
 
