A promise needs an outage: being over a limit is not one

Cause: found by reviewing the safety argument. A node that got 429 promised, and its word counted as proof that no cancellation could have been accepted. Ruled out: refusing on any error, which would end promises in a real outage.

--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -40,6 +40,7 @@
 	last    uint64
 	changed chan struct{}
 	down    bool
+	busy    bool
 	refuse  map[string]bool
 }
 
@@ -63,6 +64,13 @@
 	s.wake()
 }
 
+// Busy answers every request 429.
+func (s *State) Busy(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.busy = on
+}
+
 // RefuseFrom answers one host 503, while the others are served.
 func (s *State) RefuseFrom(host string, on bool) {
 	s.mu.Lock()
@@ -147,6 +155,10 @@
 		send(w, http.StatusServiceUnavailable, nil)
 		return
 	}
+	if s.busy {
+		send(w, http.StatusTooManyRequests, nil)
+		return
+	}
 	switch path := r.URL.Path; {
 	case path == "/keys":
 		s.list(w, r)
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -22,6 +22,9 @@
 var (
 	// ErrRefused means that the request was certainly not executed.
 	ErrRefused = errors.New("state service refused the request")
+	// ErrBusy comes with ErrRefused where a limit was the reason, the service's or
+	// this node's own: it says nothing of an outage.
+	ErrBusy = errors.New("over the limit")
 	// ErrUnknown means that the request may have been executed, or may yet be.
 	ErrUnknown = errors.New("outcome unknown")
 	// ErrNoLease means that the lease has ended.
@@ -98,7 +101,7 @@
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	if err := c.reqs.Wait(ctx); err != nil {
-		return 0, fmt.Errorf("%w: request budget: %v", ErrRefused, err)
+		return 0, fmt.Errorf("%w: request budget: %w: %v", ErrRefused, ErrBusy, err)
 	}
 	return c.send(ctx, method, path, in, out)
 }
@@ -135,7 +138,9 @@
 		return 0, fmt.Errorf("%w: %v", ErrUnknown, err)
 	}
 	switch resp.StatusCode {
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+	case http.StatusTooManyRequests:
+		return resp.StatusCode, fmt.Errorf("%w: %w", ErrRefused, ErrBusy)
+	case http.StatusServiceUnavailable:
 		return resp.StatusCode, fmt.Errorf("%w: status %d", ErrRefused, resp.StatusCode)
 	case http.StatusOK, http.StatusNotFound, http.StatusConflict, http.StatusBadRequest, http.StatusGone:
 	default:
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -320,8 +320,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, k.timing.Renew)
 	defer cancel()
-	if _, _, err := k.store.Get(ctx, HolderKey); err == nil {
-		return false
+	if _, _, err := k.store.Get(ctx, HolderKey); err == nil || errors.Is(err, state.ErrBusy) {
+		return false // a service that is only busy still takes cancellations
 	}
 	return k.vow.promise(time.Now(), k.timing.Lease, token)
 }
--- a/internal/term/term_test.go
+++ b/internal/term/term_test.go
@@ -76,6 +76,29 @@
 	})
 }
 
+// A node promises in an outage only: a service that is merely over its limit
+// still takes cancellations, which the holder would not see.
+func TestPromiseNeedsAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		world, store := standin.NewNet(), standin.NewState()
+		world.Attach("state", "state:1", store)
+		k := NewKeeper("perch-0", state.New("state:1", world.From("perch-0"), time.Second, state.Budget{Requests: 100, Writes: 50}), timing)
+		if k.Promise(t.Context(), 1) {
+			t.Error("promised while served")
+		}
+		store.Busy(true)
+		if k.Promise(t.Context(), 1) {
+			t.Error("promised while the service was over its limit")
+		}
+		store.Busy(false)
+		store.Down(true)
+		if !k.Promise(t.Context(), 1) {
+			t.Error("refused in an outage")
+		}
+		world.Wait()
+	})
+}
+
 // Two nodes, one store: the second leads only when the first has stopped, and
 // a resigned or cut-off holder's token is never used again.
 func TestHandOver(t *testing.T) {
