Peers: a broken length makes no memory be set aside

Cause: a message with a flipped bit in the number of its rows had the receiver allocate for that number; found by the test that breaks each byte of a message. Ruled out: the size limit of a message, which bounds bytes and not rows.

--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -97,6 +97,11 @@
 	case wire.BodyProgress:
 		var p wire.Progress
 		p.Init(body.Bytes, body.Pos)
+		// A length is only a number in the message: a broken one must not make
+		// this node set memory aside for it.
+		if p.JobsLength() > len(raw)/flatbuffers.SizeUOffsetT {
+			return m, errors.New("more rows than the message can hold")
+		}
 		m.progress = &Progress{Counts: make(map[string]jobs.Counts, p.JobsLength()), Served: p.Served()}
 		var row wire.JobCounts
 		for i := range p.JobsLength() {
--- /dev/null
+++ b/internal/peer/message_test.go
@@ -0,0 +1,44 @@
+package peer
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"ospreyslip/internal/jobs"
+)
+
+func TestMessages(t *testing.T) {
+	progress := Progress{Served: true, Counts: map[string]jobs.Counts{"j-1": {Done: 3, Running: 2}, "j-2": {Running: 1}}}
+	for _, tc := range []struct {
+		name string
+		raw  []byte
+		want message
+	}{
+		{"progress", encodeProgress("perch-0", progress), message{from: "perch-0", progress: &progress}},
+		{"ask", encodeAsk("perch-1", ask{7, 41}), message{from: "perch-1", ask: &ask{7, 41}}},
+		{"promise", encodePromise("perch-2", promise{7, true}), message{from: "perch-2", promise: &promise{7, true}}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			body := tc.raw[4:] // behind its size
+			got, err := decode(body)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if d := cmp.Diff(tc.want, got, cmp.AllowUnexported(message{}, ask{}, promise{})); d != "" {
+				t.Error(d)
+			}
+			// Whatever a broken sender does must end in an error or in some
+			// message, never in a panic.
+			for n := range body {
+				_, _ = decode(body[:n])
+				broken := append([]byte(nil), body...)
+				broken[n] ^= 0xff
+				_, _ = decode(broken)
+			}
+		})
+	}
+	if _, err := decode(nil); err == nil {
+		t.Error("an empty message was taken")
+	}
+}
