--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -19,26 +19,33 @@
 
 // Ratios of the forecast.
 const (
-	overrun  = 0.2 // a task that should be over is expected to run on for this part of its run time
-	patience = 4.0 // a job without an aim to meet is given so many times its run and boot time
+	overrun    = 0.2 // a task that should be over is expected to run on for this part of its run time
+	rentAtOnce = 3   // requests for one kind of machine at a time
+	patience   = 4.0 // a job without an aim to meet is given so many times its run and boot time
 )
 
+// listShare is the part of the cloud's calls that lists may take.
+const listShare = 0.25
+
 // listing keeps asking the cloud what there is.
 func (l *Leader) listing(ctx context.Context) {
 	for ctx.Err() == nil {
-		all, err := l.Cloud.List(ctx)
+		asked := time.Now()
+		all, pages, err := l.Cloud.List(ctx)
 		if err != nil {
 			slog.Debug("machines not listed", "term", l.token, "reason", err)
 		} else {
-			l.post(ctx, func(now time.Time) { l.listed(ctx, all, now) })
+			l.post(ctx, func(now time.Time) { l.listed(ctx, all, asked, now) })
 		}
-		l.pause(ctx, l.Derived.ListEvery)
+		l.pause(ctx, max(l.Derived.ListEvery, time.Duration(float64(pages)/(listShare*l.Settings.Deployment.Cloud.RPS)*float64(time.Second))))
 	}
 }
 
 // listed compares the cloud's list with our books. The list lags, so that a
-// machine missing from it proves nothing, nor does one that is still there.
-func (l *Leader) listed(ctx context.Context, all []fleet.Listed, now time.Time) {
+// machine missing from it proves nothing, nor does one that is still there. But
+// one that was in an earlier list, and has not reported since this one was asked
+// for, is mostly gone: it is called.
+func (l *Leader) listed(ctx context.Context, all []fleet.Listed, asked, now time.Time) {
 	var failed []*machine
 	for _, e := range all {
 		m := l.machines[e.ID]
@@ -55,18 +62,23 @@
 		if m.addr == "" {
 			m.addr = e.Addr
 		}
+		m.listed = asked
 		if e.State == fleet.Failed && m.phase != returning {
 			slog.Info("machine failed", "machine", m.id, "term", l.token, "reason", "cloud says so")
 			failed = append(failed, m)
 		}
 	}
 	l.release(ctx, now, failed...)
+	for _, m := range l.machines {
+		if m.phase == up && !m.listed.IsZero() && m.listed != asked && m.reported.Before(asked) {
+			l.watch.Suspect(m.id)
+		}
+	}
 	for id, until := range l.gone {
 		if now.After(until) {
 			delete(l.gone, id)
 		}
 	}
-	l.replan = true
 }
 
 func (l *Leader) booted(m *machine, now time.Time) {
@@ -91,10 +103,11 @@
 
 // manageFleet returns what is not needed and rents what is.
 func (l *Leader) manageFleet(ctx context.Context, now time.Time) {
-	if now.Sub(l.fleetAt) < l.Derived.Report/4 || l.Catalog() == nil {
+	if now.Sub(l.fleetAt) < max(l.Derived.Beat/4, times(l.fleetTook, 1/planShare)) || l.Catalog() == nil {
 		return
 	}
 	l.fleetAt = now
+	defer func() { l.fleetTook = time.Since(now) }()
 	var back []*machine
 	for _, m := range l.machines {
 		boot := l.bootTime(m.typ)
@@ -128,26 +141,19 @@
 
 func (l *Leader) rent(ctx context.Context, now time.Time) {
 	have := map[fleet.Kind]int{}
-	var coming []fleet.Coming
-	add := func(k fleet.Kind) {
-		if t := l.machineType(k.Type); t != nil {
-			coming = append(coming, fleet.Coming{Kind: k, Free: placement.Amount{CPUs: t.CPUs, GPUs: t.GPUs, RAMGB: t.RAMGB}})
-		}
-	}
+	coming := map[fleet.Kind]int{}
 	for _, m := range l.machines {
 		k := fleet.Kind{Type: m.typ, Zone: m.zone, Spot: m.spot}
 		if m.phase != returning {
 			have[k]++
 		}
 		if m.phase == booting && now.Sub(m.known) < times(l.bootTime(m.typ), l.Settings.Operator.SlowBoots) {
-			add(k)
+			coming[k]++
 		}
 	}
 	for k, n := range l.renting {
 		have[k] += n
-		for range n {
-			add(k) // on its way, though not in the books yet
-		}
+		coming[k] += n // on its way, though not in the books yet
 	}
 	needs := l.needs(now)
 	plan := fleet.Plan(needs, coming, fleet.Market{
@@ -156,10 +162,13 @@
 		Refused: func(k fleet.Kind) bool { return now.Before(l.refused[k].until) },
 	})
 	for _, k := range fleet.Sorted(plan) {
-		l.charters++
-		r := fleet.Rental{Name: fmt.Sprintf("r-%d-%d", l.term.Token, l.charters), Kind: k, Count: min(plan[k], fleet.MaxRent)}
-		l.renting[k] += r.Count
-		go l.charter(ctx, r)
+		// The kinds take turns at the cloud: a few requests each at a time.
+		for n := min(plan[k], rentAtOnce*fleet.MaxRent); n > 0; n -= fleet.MaxRent {
+			l.charters++
+			r := fleet.Rental{Name: fmt.Sprintf("r-%d-%d", l.term.Token, l.charters), Kind: k, Count: min(n, fleet.MaxRent)}
+			l.renting[k] += r.Count
+			go l.charter(ctx, r)
+		}
 	}
 }
 
@@ -304,6 +313,7 @@
 			continue
 		}
 		m.phase = returning
+		l.shelves.Remove(m.offer)
 		ids = append(ids, m.id)
 	}
 	for chunk := range slices.Chunk(ids, fleet.MaxRelease) {
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -4,8 +4,6 @@
 	"context"
 	"encoding/json"
 	"log/slog"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -152,14 +150,23 @@
 	mayResign bool
 	resign    bool
 	finals    []*job
-	chunks    []chunkRef
-	dirty     []*machine
+	book      book
+	flushedAt time.Time
+
+	shelves   placement.Shelves
+	ranks     [8]int // tasks on machines, by priority
+	queued    map[*job]bool
+	recover   bool // which jobs are covered is to be found out anew
+	replan    bool
+	plannedAt time.Time
+	planTook  time.Duration
+	unmet     []placement.Demand
+	pokes     []*machine // have something to be told at once
+	ordersOut int
 
-	replan     bool
-	plannedAt  time.Time
-	unmet      []placement.Demand
 	shownAt    time.Time
 	fleetAt    time.Time
+	fleetTook  time.Duration
 	charters   int
 	renting    map[fleet.Kind]int
 	refused    map[fleet.Kind]refusal
@@ -173,10 +180,8 @@
 	wait  time.Duration
 }
 
-type chunkRef struct {
-	j *job
-	c int
-}
+// smallZone is the size of a zone that the operators' gap between verdicts is for.
+const smallZone = 20
 
 // Lead does one term's work until the context ends.
 func (g *Gate) Lead(ctx context.Context, d Deps, t term.Term) {
@@ -184,11 +189,11 @@
 		Deps: d, term: t, token: t.Token, tokenMark: t.TokenMark,
 		reports: make(chan reportIn, 16), events: make(chan func(time.Time), 64), quit: make(chan struct{}),
 		jobs: map[string]*job{}, machines: map[string]*machine{}, used: map[string]placement.Amount{},
-		renting: map[fleet.Kind]int{}, refused: map[fleet.Kind]refusal{}, gone: map[string]time.Time{}, bias: map[string]float64{},
+		queued: map[*job]bool{}, renting: map[fleet.Kind]int{}, refused: map[fleet.Kind]refusal{}, gone: map[string]time.Time{}, bias: map[string]float64{},
 		attempts: t.Token << 24,
 		watch: liveness.New(liveness.Config{
 			SilentFor: d.Derived.SilentFor, LeaseOver: d.Derived.LeaseOver,
-			HoldGrace: d.Derived.HoldGrace, Gap: d.Derived.VerdictGap,
+			HoldGrace: d.Derived.HoldGrace, Gap: d.Derived.VerdictGap, ZoneSize: smallZone,
 		}),
 	}
 	ctx, stop := context.WithCancel(ctx)
@@ -226,7 +231,7 @@
 }
 
 func (l *Leader) run(ctx context.Context) {
-	tick := time.NewTicker(l.Derived.Report / 8)
+	tick := time.NewTicker(l.Derived.Beat / 8)
 	defer tick.Stop()
 	for {
 		select {
@@ -254,10 +259,10 @@
 			return
 		}
 		now := time.Now()
-		if l.replan && l.mayBegin(now) && now.Sub(l.plannedAt) >= l.Derived.Report/32 {
+		if l.mayPlan(now) {
 			l.place(now)
 		}
-		l.flush(ctx)
+		l.flush(ctx, now)
 		l.orders(ctx, now)
 	}
 }
@@ -289,87 +294,123 @@
 			ended[id] = p
 			continue
 		}
-		l.jobs[id] = newJob(id, rec.Spec, p.Mark, rec.AtMs)
-	}
-	chunks, _, err := l.Store.List(ctx, jobs.ChunkPrefix)
-	if err != nil {
-		return 0, err
-	}
-	for _, p := range chunks {
-		id, num, _ := strings.Cut(strings.TrimPrefix(p.Key, jobs.ChunkPrefix), "/")
-		c, err := strconv.Atoi(num)
-		j := l.jobs[id]
-		if j == nil || err != nil {
-			continue
-		}
-		if err := j.loadChunk(c, l.Derived.ChunkTasks, p.Value); err != nil {
-			slog.Error("completions unreadable", "key", p.Key, "reason", err)
-			continue
-		}
-		j.chunks[c] = &chunk{mark: p.Mark, saved: true}
+		l.jobs[id] = newJob(id, rec.Spec, p.Mark, rec.AtMs, now)
 	}
-	machines, _, err := l.Store.List(ctx, machinePrefix)
+	pages, _, err := l.Store.List(ctx, bookPrefix)
 	if err != nil {
 		return 0, err
 	}
-	for _, p := range machines {
-		var rec machineRecord
-		if err := json.Unmarshal(p.Value, &rec); err != nil {
-			slog.Error("machine record unreadable", "key", p.Key, "reason", err)
-			continue
-		}
-		l.restore(strings.TrimPrefix(p.Key, machinePrefix), rec, p.Mark, ended, now)
-	}
+	l.restore(l.readBook(pages), ended, now)
 	for _, j := range l.jobs {
 		if !j.over() && j.spec.Shape == jobs.Batch && j.doneCount == j.spec.Tasks {
 			l.finish(j)
 		}
 		l.show(j)
+		l.queue(j)
 	}
-	l.replan = true
+	l.replan, l.recover = true, true
 	l.listSyncAt = now.Add(2 * l.Derived.ListLag)
 	slog.Info("records read", "term", l.token, "jobs", len(l.jobs), "ended", len(ended), "machines", len(l.machines))
 	return after, nil
 }
 
-// restore takes in a machine's record. Whatever it names may be there: the
-// tasks count until a report under our token, or the end of the lease, shows
-// otherwise. No earlier leader answered a report later than the term began.
-func (l *Leader) restore(id string, rec machineRecord, mark uint64, ended map[string]state.Pair, now time.Time) {
-	m := newMachine(id, now)
-	m.addr, m.typ, m.zone, m.spot, m.mark = rec.Addr, rec.Type, rec.Zone, rec.Spot, mark
-	m.session, m.phase, m.leaseUntil = rec.Session, up, now.Add(l.Derived.LeaseOver)
-	m.poke = true // an order, even an empty one, shows the worker our token
-	l.machines[id] = m
-	l.watch.Restore(id, m.zone, now)
-	for _, t := range rec.Tasks {
-		j := l.jobs[t.Job]
-		if j == nil {
-			var old jobs.Record
-			if p, ok := ended[t.Job]; ok {
-				_ = json.Unmarshal(p.Value, &old)
+// restore takes in the book. Whatever it names may be there: the tasks count
+// until a report under our token, or the end of the lease, shows otherwise. No
+// earlier leader answered a report later than the term began.
+func (l *Leader) restore(recs []pageRecord, ended map[string]state.Pair, now time.Time) {
+	first := len(l.book.pages) - len(recs)
+	where := map[uint64]*page{}
+	for i, rec := range recs {
+		p := l.book.pages[first+i]
+		for _, b := range rec.Begun {
+			m := l.restoreMachine(b, now)
+			for _, t := range b.Tasks {
+				if old := where[t.Attempt]; old != nil {
+					delete(old.begun, t.Attempt) // carried along since
+				}
+				where[t.Attempt] = p
+				l.restoreTask(p, m, b.Session, t, ended, now)
 			}
-			if old.Spec == nil {
-				// Done: what is left of it on the machine ends by itself.
-				old.Spec = &jobs.Spec{ID: t.Job, Tasks: t.N + 1, Shape: jobs.Batch}
+		}
+		for _, attempt := range rec.Over {
+			if p := where[attempt]; p != nil {
+				delete(p.begun, attempt)
 			}
-			j = newJob(t.Job, old.Spec, ended[t.Job].Mark, 0)
-			j.cancelled = true
-			l.jobs[t.Job] = j
 		}
-		if t.N >= j.spec.Tasks {
-			continue
+		for _, d := range rec.Done {
+			j := l.jobs[d.Job]
+			if j == nil || d.Chunk < 0 || d.Chunk*l.Derived.ChunkTasks >= j.spec.Tasks {
+				continue
+			}
+			if err := j.loadChunk(d.Chunk, l.Derived.ChunkTasks, d.Bits); err != nil {
+				slog.Error("completions unreadable", "job", d.Job, "reason", err)
+				continue
+			}
+			ref := chunkRef{j, d.Chunk}
+			p.done[ref] = true
+			j.chunks[d.Chunk] = &chunk{home: p, saved: true}
 		}
-		a := &assignment{
-			job: j, n: t.N, attempt: t.Attempt, session: rec.Session, m: m,
-			restored: true, durable: true, doubt: l.token - 1, born: now, since: now,
+	}
+	for _, p := range l.book.pages {
+		for _, attempt := range sorted(p.begun) {
+			a := p.begun[attempt]
+			l.count(a)
+			a.m.assigned[attempt] = a
+			a.job.tasks[a.n] = a
+			if !a.job.isDone(a.n) {
+				a.job.waiting--
+			}
+			switch {
+			case a.job.isDone(a.n):
+				l.over(a, success)
+			case a.session < a.m.session:
+				l.over(a, retry) // its session was over when a later one was recorded
+			}
+		}
+	}
+}
+
+func (l *Leader) restoreMachine(b begunRecord, now time.Time) *machine {
+	m := l.machines[b.Machine]
+	if m == nil {
+		m = newMachine(b.Machine, now)
+		m.phase, m.leaseUntil = up, now.Add(l.Derived.LeaseOver)
+		l.machines[m.id] = m
+		l.watch.Restore(m.id, b.Zone, now)
+		l.poke(m) // an order, even an empty one, shows the worker our token
+	}
+	m.addr, m.typ, m.zone, m.spot = b.Addr, b.Type, b.Zone, b.Spot
+	m.session = max(m.session, b.Session)
+	return m
+}
+
+// restoreTask finds out what may be on a machine; it does not count before the
+// whole book is read.
+func (l *Leader) restoreTask(p *page, m *machine, session uint64, t taskRecord, ended map[string]state.Pair, now time.Time) {
+	j := l.jobs[t.Job]
+	if j == nil {
+		var old jobs.Record
+		if p, ok := ended[t.Job]; ok {
+			_ = json.Unmarshal(p.Value, &old)
 		}
-		l.count(a)
-		m.assigned[a.attempt] = a
-		j.tasks[a.n] = a
-		if j.isDone(a.n) {
-			l.over(a, success)
+		if old.Spec == nil {
+			// Done: what is left of it on the machine ends by itself.
+			old.Spec = &jobs.Spec{ID: t.Job, Tasks: t.N + 1, Shape: jobs.Batch}
 		}
+		j = newJob(t.Job, old.Spec, ended[t.Job].Mark, 0, now)
+		j.cancelled = true
+		l.jobs[t.Job] = j
+	}
+	if t.N < 0 || t.N >= j.spec.Tasks {
+		if !j.cancelled {
+			slog.Error("record names a task that its job does not have", "job", t.Job, "task", t.N)
+			return
+		}
+		j.grow(t.N + 1)
+	}
+	p.begun[t.Attempt] = &assignment{
+		job: j, n: t.N, attempt: t.Attempt, session: session, m: m, home: p,
+		restored: true, durable: true, doubt: l.token - 1, born: now, since: now,
 	}
 }
 
@@ -398,13 +439,13 @@
 		l.post(ctx, func(now time.Time) {
 			l.fresh = sent
 			for _, c := range changes {
-				l.jobChanged(c)
+				l.jobChanged(c, now)
 			}
 		})
 	}
 }
 
-func (l *Leader) jobChanged(c state.Change) {
+func (l *Leader) jobChanged(c state.Change, now time.Time) {
 	if c.Set == "" {
 		return
 	}
@@ -417,10 +458,11 @@
 	j := l.jobs[id]
 	switch {
 	case j == nil && !rec.Over() && rec.Spec != nil:
-		j = newJob(id, rec.Spec, c.Mark, rec.AtMs)
+		j = newJob(id, rec.Spec, c.Mark, rec.AtMs, now)
 		l.jobs[id] = j
 		l.show(j)
-		l.replan = true
+		l.queue(j)
+		l.replan, l.recover = true, true
 	case j != nil && rec.Stance == jobs.Cancelled && !j.cancelled:
 		slog.Info("job cancelled", "job", id, "term", l.token)
 		j.cancelled, j.mark = true, c.Mark
@@ -444,25 +486,15 @@
 	if j.final && !j.cancelled && j.mark != 0 {
 		return // its record is still to be written
 	}
-	if j.cancelled {
-		for c, ch := range j.chunks {
-			if ch.mark != 0 {
-				l.chunks = append(l.chunks, chunkRef{j, c}) // to be removed
-			}
-		}
-	}
 	delete(l.jobs, j.id)
+	delete(l.queued, j)
+	l.recover = true
 	l.Counts.drop(j.id)
 }
 
 // show publishes a job's counts when they have changed.
 func (l *Leader) show(j *job) {
-	c := jobs.Counts{Done: j.doneCount}
-	for _, a := range j.tasks {
-		if a.seen == workers.Running && a.outcome == open {
-			c.Running++
-		}
-	}
+	c := jobs.Counts{Done: j.doneCount, Running: j.running}
 	if c != j.shown || c == (jobs.Counts{}) {
 		j.shown = c
 		l.Counts.set(j.id, c)
--- a/internal/control/model.go
+++ b/internal/control/model.go
@@ -3,39 +3,14 @@
 package control
 
 import (
-	"encoding/base64"
-	"encoding/json"
-	"fmt"
-	"math/bits"
 	"time"
 
 	"ospreyslip/internal/jobs"
+	"ospreyslip/internal/liveness"
 	"ospreyslip/internal/placement"
 	"ospreyslip/internal/workers"
 )
 
-// machinePrefix holds one key for each machine that has tasks.
-const machinePrefix = "machine/"
-
-// machineRecord is what the state service keeps of a machine: the tasks that
-// are, or may be, on it.
-type machineRecord struct {
-	Addr    string       `json:"addr"`
-	Type    string       `json:"type"`
-	Zone    string       `json:"zone"`
-	Spot    bool         `json:"spot,omitempty"`
-	Session uint64       `json:"session"`
-	Dead    bool         `json:"dead,omitempty"`
-	Tasks   []taskRecord `json:"tasks,omitempty"`
-}
-
-// taskRecord is one assignment. Its attempt is unique among all tasks.
-type taskRecord struct {
-	Job     string `json:"j"`
-	N       int    `json:"n"`
-	Attempt uint64 `json:"a"`
-}
-
 // job is an unfinished job, or an ended one whose tasks are not all gone.
 type job struct {
 	id        string
@@ -51,8 +26,12 @@
 	tasks     map[int]*assignment // where a task is, or may be
 	next      int                 // no task below is pending for the first time
 	again     []int               // lost or stopped tasks, to be placed again
+	waiting   int                 // tasks that wait for a machine
+	running   int                 // tasks seen running
 	zones     map[string]int
-	ranS      float64 // what its completed tasks took in all
+	served    time.Time // when a task was last placed, or the job became known
+	covered   bool      // within its team's guarantee
+	ranS      float64   // what its completed tasks took in all
 	ranCount  int
 	errors    int // failures in a row, over all machines
 	notBefore time.Time
@@ -60,14 +39,19 @@
 }
 
 type chunk struct {
-	mark  uint64
+	home  *page // where it was last written
 	dirty bool
 	saved bool // every bit set so far is durable
 }
 
-func newJob(id string, spec *jobs.Spec, mark uint64, atMs int64) *job {
+type chunkRef struct {
+	j *job
+	c int
+}
+
+func newJob(id string, spec *jobs.Spec, mark uint64, atMs int64, now time.Time) *job {
 	return &job{
-		id: id, spec: spec, mark: mark, order: mark, atMs: atMs,
+		id: id, spec: spec, mark: mark, order: mark, atMs: atMs, waiting: spec.Tasks, served: now,
 		done: make([]uint64, (spec.Tasks+63)/64), chunks: map[int]*chunk{},
 		tasks: map[int]*assignment{}, zones: map[string]int{},
 	}
@@ -81,40 +65,36 @@
 	}
 	j.done[n/64] |= 1 << (n % 64)
 	j.doneCount++
+	if j.tasks[n] == nil {
+		j.waiting--
+	}
 	return true
 }
 
-// pending returns up to most tasks that wait for a machine.
-func (j *job) pending(most int) []int {
-	var out []int
-	for _, n := range j.again {
-		if len(out) < most {
-			out = append(out, n)
-		}
-	}
-	for n := j.next; n < j.spec.Tasks && len(out) < most; n++ {
-		if j.tasks[n] == nil && !j.isDone(n) {
-			out = append(out, n)
-		}
-	}
-	return out
+// grow makes room for a task of a job of which only the end is known.
+func (j *job) grow(tasks int) {
+	j.spec.Tasks = tasks
+	j.done = append(j.done, make([]uint64, (tasks+63)/64-len(j.done))...)
 }
 
-// taken notes that a pending task has been assigned.
-func (j *job) taken(n int) {
-	for i, a := range j.again {
-		if a == n {
-			j.again = append(j.again[:i], j.again[i+1:]...)
-			return
-		}
+// take gives out the next task that waits for a machine.
+func (j *job) take() int {
+	j.waiting--
+	if n := len(j.again); n > 0 {
+		last := j.again[n-1]
+		j.again = j.again[:n-1]
+		return last
 	}
-	for j.next < j.spec.Tasks && (j.tasks[j.next] != nil || j.isDone(j.next)) {
+	for j.tasks[j.next] != nil || j.isDone(j.next) {
 		j.next++
 	}
+	j.next++
+	return j.next - 1
 }
 
-// givenBack notes that a task is off its machine and not done.
-func (j *job) givenBack(n int) {
+// giveBack notes that a task is off its machine and not done.
+func (j *job) giveBack(n int) {
+	j.waiting++
 	if n < j.next {
 		j.again = append(j.again, n)
 	}
@@ -122,44 +102,6 @@
 
 func (j *job) over() bool { return j.cancelled || j.final }
 
-func chunkKey(id string, c int) string { return fmt.Sprintf("%s%s/%d", jobs.ChunkPrefix, id, c) }
-
-// chunkValue packs the completions of one chunk of tasks.
-func (j *job) chunkValue(c, size int) json.RawMessage {
-	lo, hi := c*size/64, min((c+1)*size/64, len(j.done))
-	buf := make([]byte, 0, (hi-lo)*8)
-	for _, w := range j.done[lo:hi] {
-		for b := 0; b < 8; b++ {
-			buf = append(buf, byte(w>>(8*b)))
-		}
-	}
-	raw, _ := json.Marshal(base64.StdEncoding.EncodeToString(buf))
-	return raw
-}
-
-// loadChunk takes in the completions that an earlier leader wrote.
-func (j *job) loadChunk(c, size int, raw json.RawMessage) error {
-	var text string
-	if err := json.Unmarshal(raw, &text); err != nil {
-		return err
-	}
-	buf, err := base64.StdEncoding.DecodeString(text)
-	if err != nil {
-		return err
-	}
-	lo := c * size / 64
-	for i, b := range buf {
-		if w := lo + i/8; w < len(j.done) {
-			j.done[w] |= uint64(b) << (8 * (i % 8))
-		}
-	}
-	j.doneCount = 0
-	for _, w := range j.done {
-		j.doneCount += bits.OnesCount64(w)
-	}
-	return nil
-}
-
 // The outcome of an assignment that is over.
 type outcome int
 
@@ -178,8 +120,11 @@
 	m       *machine
 
 	restored bool      // found in the records: nobody here saw it begin
+	home     *page     // where its beginning is written
 	durable  bool      // written: the worker may hear of it
-	outcome  outcome   // over, as soon as the record without it is durable
+	outcome  outcome   // over, as soon as that is durable
+	ending   bool      // queued to be written as over
+	closing  bool      // written as over, outcome open
 	inRoom   bool      // counts in the machine's room
 	seen     string    // state in the newest picture, empty if absent
 	born     time.Time // when this leader made or found it
@@ -208,33 +153,34 @@
 	phase               phase
 	session             uint64
 	seq                 uint64
-	token               uint64 // highest the worker has shown
+	lastReport          liveness.Counter // newest report, answers to calls aside
+	token               uint64           // highest the worker has shown
 	picture             []workers.Task
 	reported            time.Time // when its last report came
 	leaseUntil          time.Time // by then a worker unheard has ended its tasks
 	assigned            map[uint64]*assignment
-	room                placement.Amount // taken by assignments
-	images              map[string]time.Time
+	room                placement.Amount   // taken by assignments
+	offer               *placement.Machine // as placement sees it
 	avoid               map[string]time.Time
-	mark                uint64 // revision of its record
-	dirty               bool
 	dead                bool // the verdict is out
 	draining            bool
-	slow                bool // runs tasks much slower than others do: no batch work
 	noticeUntil         time.Time
 	known               time.Time // when this leader learnt of it
 	idleSince           time.Time
-	poke                bool // has something to be told at once
+	poked               bool // has something to be told at once
 	orderBusy           bool
 	orderAfter          time.Time
 	doubtSince          time.Time
 	failures            map[string]bool // jobs that failed here since one succeeded
+	listed              time.Time       // when the newest list that had it was asked for
+	told                []workers.Call  // what the last answer asked for
+	unheeded            int             // answers in a row of which nothing came
 }
 
 func newMachine(id string, now time.Time) *machine {
 	return &machine{
 		id: id, known: now, idleSince: now,
-		assigned: map[uint64]*assignment{}, images: map[string]time.Time{},
-		avoid: map[string]time.Time{}, failures: map[string]bool{},
+		assigned: map[uint64]*assignment{}, avoid: map[string]time.Time{}, failures: map[string]bool{},
+		offer: &placement.Machine{ID: id, Images: map[string]bool{}, Avoid: map[string]bool{}},
 	}
 }
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -15,13 +15,28 @@
 	return liveness.Counter{Session: r.Session, Seq: r.Seq}
 }
 
-// orders tells workers at once what cannot wait for their next report.
+// poke notes that a worker has something to be told at once.
+func (l *Leader) poke(m *machine) {
+	if !m.poked {
+		m.poked = true
+		l.pokes = append(l.pokes, m)
+	}
+}
+
+// orders tells workers at once what cannot wait for their next report. A few
+// orders are on their way at a time: at a take-over every worker has to be told.
 func (l *Leader) orders(ctx context.Context, now time.Time) {
-	for _, m := range l.machines {
-		if !m.poke || m.orderBusy || now.Before(m.orderAfter) {
+	for len(l.pokes) > 0 && l.ordersOut < l.Derived.OrdersOut {
+		m := l.pokes[0]
+		l.pokes = l.pokes[1:]
+		if m.orderBusy {
+			continue // looked at again when that order has returned
+		}
+		if wait := m.orderAfter.Sub(now); wait > 0 {
+			l.later(ctx, wait, func() { l.repoke(m) })
 			continue
 		}
-		m.poke = false
+		m.poked = false
 		if m.phase != up || m.session == 0 || m.addr == "" || !m.doubtSince.IsZero() || now.After(m.leaseUntil) || !l.Valid() {
 			continue
 		}
@@ -29,6 +44,7 @@
 		if len(calls) == 0 && m.token >= l.token {
 			continue
 		}
+		l.ordersOut++
 		m.orderBusy = true
 		l.watch.Called(m.id)
 		order := workers.Order{Token: l.token, Session: m.session, Calls: calls}
@@ -39,12 +55,20 @@
 	}
 }
 
+func (l *Leader) repoke(m *machine) {
+	if m.poked {
+		l.pokes = append(l.pokes, m)
+	}
+}
+
 // ordered takes in the outcome of an order. If nobody knows whether it arrived,
 // its runs are in doubt: they may be executed at any later time while token and
 // session match. They are not sent again, nor is their task placed elsewhere,
 // until a report shows them or the worker has seen a higher token.
 func (l *Leader) ordered(m *machine, o workers.Order, r *workers.Report, ok bool, err error, now time.Time) {
 	m.orderBusy = false
+	l.ordersOut--
+	l.repoke(m)
 	neverSent := !ok && err == nil
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
@@ -66,10 +90,13 @@
 	}
 	if err != nil {
 		slog.Debug("order failed", "machine", m.id, "term", l.token, "reason", err)
-		m.orderAfter = now.Add(l.Derived.Report)
-		m.poke = true
+		m.orderAfter = now.Add(l.Derived.Beat)
+		l.poke(m)
+		l.watch.Suspect(m.id)
 		return
 	}
+	m.unheeded = 0
+	l.watch.Hears(m.id)
 	l.watch.Answered(m.id, counter(r))
 	l.observe(m, r, now)
 	for _, a := range m.assigned {
@@ -96,7 +123,7 @@
 		}
 		if !inDoubt {
 			m.doubtSince = time.Time{}
-			m.poke = true
+			l.poke(m)
 		}
 	}
 }
@@ -114,7 +141,6 @@
 			m.doubtSince = time.Time{}
 		}
 		m.leaseUntil = now.Add(l.Derived.LeaseOver)
-		l.touch(m)
 	}
 }
 
@@ -131,6 +157,12 @@
 func (l *Leader) tick(ctx context.Context, now time.Time) {
 	l.expire(now)
 	l.doubts(now)
+	for _, m := range l.machines {
+		l.shelve(m, now) // what has fallen silent takes no work
+		if m.unshun(now) {
+			l.replan = true
+		}
+	}
 	if l.mayBegin(now) {
 		l.findSlow(now)
 	}
@@ -154,7 +186,7 @@
 		slog.Info("resigning", "term", l.token, "reason", "no machine of any zone reports here")
 		l.resign = true
 	}
-	if now.Sub(l.shownAt) > l.Derived.Report/2 {
+	if now.Sub(l.shownAt) > l.Derived.Beat/2 {
 		l.shownAt = now
 		l.Publish(l.Counts.shown())
 	}
@@ -173,6 +205,7 @@
 		l.watch.CallDone(m.id, false, liveness.Counter{}, now)
 		return
 	}
+	m.unheeded = 0
 	// The answer is a newer picture of the tasks, though it renews no lease.
 	l.watch.CallDone(m.id, true, counter(r), now)
 	l.observe(m, r, now)
@@ -187,7 +220,8 @@
 	}
 	slog.Info("machine judged dead", "machine", m.id, "zone", m.zone, "term", l.token, "reason", string(reason), "tasks", len(m.assigned))
 	m.dead = true
-	l.touch(m)
+	l.book.deaths = append(l.book.deaths, m.id)
+	l.shelve(m, now)
 	l.replan = true
 	if reason == liveness.CallFailed {
 		l.release(ctx, now, m)
--- a/internal/control/picture_test.go
+++ b/internal/control/picture_test.go
@@ -30,14 +30,14 @@
 		},
 		term: term.Term{Token: 5}, token: 5, attempts: 100, fresh: now,
 		jobs: map[string]*job{}, machines: map[string]*machine{}, used: map[string]placement.Amount{},
-		bias: map[string]float64{}, gone: map[string]time.Time{}, refused: map[fleet.Kind]refusal{},
+		queued: map[*job]bool{}, bias: map[string]float64{}, gone: map[string]time.Time{}, refused: map[fleet.Kind]refusal{},
 		watch: liveness.New(liveness.Config{SilentFor: time.Second, LeaseOver: time.Second, HoldGrace: time.Second, Gap: time.Second}),
 	}
-	j := newJob("j-1", &jobs.Spec{ID: "j-1", Team: "red", Shape: jobs.Batch, Priority: jobs.Standard, Tasks: 2, CPUs: 1}, 1, 0)
+	j := newJob("j-1", &jobs.Spec{ID: "j-1", Team: "red", Shape: jobs.Batch, Priority: jobs.Standard, Tasks: 2, CPUs: 1}, 1, 0, now)
 	l.jobs["j-1"] = j
 	l.report(report(1, 1), now)
 	m := l.machines["m-1"]
-	l.assign(j, 0, m, now)
+	l.assign(j, j.take(), m, now)
 	for _, a := range m.assigned {
 		a.durable = true
 	}
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -12,10 +12,6 @@
 	"ospreyslip/internal/workers"
 )
 
-// planTasks bounds the tasks of one job that a plan looks at; the rest waits
-// for the next, when these are placed.
-const planTasks = 256
-
 // dueS is how many seconds a job has left for the next aim that it can still
 // meet, given how long its tasks run.
 func (l *Leader) dueS(j *job, wall int64) float64 {
@@ -69,59 +65,103 @@
 	l.bias[class] += biasWeight * (off - l.bias[class])
 }
 
+// overdueShare is the part of a job's tasks that go first when it has got nothing
+// for too long. It would starve without; with all of them, so would the others.
+const overdueShare = 1.0 / 8
+
+// queue notes that a job has tasks that wait for a machine.
+func (l *Leader) queue(j *job) {
+	if j.waiting > 0 && !j.over() {
+		l.queued[j] = true
+	}
+}
+
+// cover finds out which jobs their teams' guarantees cover.
+func (l *Leader) cover() {
+	l.recover = false
+	var all []*placement.Job
+	back := map[*placement.Job]*job{}
+	for _, j := range l.jobs {
+		if !j.over() {
+			p := &placement.Job{Spec: j.spec, Order: j.order}
+			back[p] = j
+			all = append(all, p)
+		}
+	}
+	slices.SortFunc(all, func(a, b *placement.Job) int { return cmp.Compare(a.Order, b.Order) })
+	placement.Guarantees(l.Settings.Deployment.Teams, all)
+	for p, j := range back {
+		j.covered = p.Guaranteed
+	}
+}
+
+// planJob is a job as placement sees it.
+func (l *Leader) planJob(j *job, now time.Time, wall int64) *placement.Job {
+	p := &placement.Job{
+		Spec: j.spec, Order: j.order, DueS: l.dueS(j, wall), Waiting: j.waiting, Guaranteed: j.covered,
+		LeftS: float64(j.spec.Tasks-j.doneCount) * l.runS(j.spec) * j.spec.CPUs, Zones: make(map[string]int, len(j.zones)),
+	}
+	for z, n := range j.zones {
+		p.Zones[z] = n
+	}
+	if now.Sub(j.served) > l.Derived.BeginBy {
+		p.Overdue = min(j.waiting, int(math.Ceil(overdueShare*float64(j.spec.Tasks))))
+	}
+	return p
+}
+
+// planShare bounds the part of the time that planning takes: reports, renewals
+// and cancellations have to get through as well.
+const planShare = 0.2
+
+// mayPlan tells whether it is time for a plan.
+func (l *Leader) mayPlan(now time.Time) bool {
+	return l.replan && l.mayBegin(now) && now.Sub(l.plannedAt) >= max(l.Derived.Beat/32, times(l.planTook, 1/planShare))
+}
+
 // place plans on the picture as it is and carries the plan out.
 func (l *Leader) place(now time.Time) {
 	l.replan, l.plannedAt = false, now
-	in := placement.Input{Teams: l.Settings.Deployment.Teams, Used: map[string]placement.Amount{}}
+	defer func() { l.planTook = time.Since(now) }()
+	if l.recover {
+		l.cover()
+	}
+	in := placement.Input{Teams: l.Settings.Deployment.Teams, Used: map[string]placement.Amount{}, Shelves: &l.shelves}
 	for team, a := range l.used {
 		in.Used[team] = a
 	}
-	plans := map[*job]*placement.Job{}
+	for in.Least < len(l.ranks)-1 && l.ranks[in.Least] == 0 {
+		in.Least++
+	}
 	back := map[*placement.Job]*job{}
-	wall := time.Now().UnixMilli()
-	var all []*placement.Job
-	for _, j := range l.jobs {
-		if j.over() {
-			continue
-		}
-		p := &placement.Job{Spec: j.spec, Order: j.order, DueS: l.dueS(j, wall), Zones: map[string]int{}}
-		p.LeftS = float64(j.spec.Tasks-j.doneCount) * l.runS(j.spec) * j.spec.CPUs
-		for z, n := range j.zones {
-			p.Zones[z] = n
-		}
-		if now.Before(j.notBefore) {
+	wall := now.UnixMilli()
+	for j := range l.queued {
+		switch {
+		case j.over() || j.waiting == 0:
+			delete(l.queued, j)
+		case now.Before(j.notBefore):
 			l.replan = true
-		} else {
-			p.Pending = j.pending(planTasks)
-		}
-		plans[j], back[p] = p, j
-		all = append(all, p)
-	}
-	slices.SortFunc(all, func(a, b *placement.Job) int { return cmp.Compare(a.Order, b.Order) })
-	placement.Guarantees(in.Teams, all)
-	for _, p := range all {
-		if len(p.Pending) > 0 {
+		default:
+			p := l.planJob(j, now, wall)
+			back[p] = j
 			in.Jobs = append(in.Jobs, p)
 		}
 	}
-	ids := make([]string, 0, len(l.machines))
-	for id := range l.machines {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
+	slices.SortFunc(in.Jobs, func(a, b *placement.Job) int {
+		return cmp.Or(cmp.Compare(a.Order, b.Order), cmp.Compare(a.Spec.ID, b.Spec.ID))
+	})
 	placed := map[*placement.Placed]*assignment{}
-	for _, id := range ids {
-		if m := l.machines[id]; l.usable(m, now) {
-			in.Machines = append(in.Machines, l.offer(m, plans, placed, now))
-		}
-	}
+	asVictim := map[*job]*placement.Job{}
+	in.Fill = func(p *placement.Machine) { l.fillOffer(p, asVictim, placed, now) }
 	out := placement.Plan(in)
 	for _, s := range out.Stop {
 		a := placed[s.Task]
 		l.stop(a, a.job.spec.SaveS)
 	}
 	for _, as := range out.Assign {
-		l.assign(back[as.Job], as.N, l.machines[as.Machine.ID], now)
+		j := back[as.Job]
+		j.served = now
+		l.assign(j, j.take(), l.machines[as.Machine.ID], now)
 	}
 	l.unmet = out.Unmet
 }
@@ -131,33 +171,21 @@
 	return m.phase == up && !m.dead && !m.draining && m.session != 0 && m.token <= l.token && l.watch.Placeable(m.id, now)
 }
 
-func (l *Leader) offer(m *machine, plans map[*job]*placement.Job, placed map[*placement.Placed]*assignment, now time.Time) *placement.Machine {
-	p := &placement.Machine{
-		ID: m.id, Type: m.typ, Zone: m.zone, Spot: m.spot, Images: map[string]bool{}, Avoid: map[string]bool{},
-	}
-	if t := l.machineType(m.typ); t != nil {
-		p.Total = placement.Amount{CPUs: t.CPUs, GPUs: t.GPUs, RAMGB: t.RAMGB}
-	}
-	p.Slow = m.slow
-	p.Free = p.Total.Plus(m.room, -1)
-	for image := range m.images {
-		p.Images[image] = true
-	}
-	for id, until := range m.avoid {
-		if now.Before(until) {
-			p.Avoid[id] = true
-			l.replan = true
-		} else {
-			delete(m.avoid, id)
-		}
-	}
-	for _, a := range m.assigned {
+// fillOffer shows placement what could be stopped on a machine.
+func (l *Leader) fillOffer(p *placement.Machine, jobs map[*job]*placement.Job, placed map[*placement.Placed]*assignment, now time.Time) {
+	p.Freeing, p.Tasks = placement.Amount{}, p.Tasks[:0]
+	for _, a := range l.machines[p.ID].assigned {
 		switch {
 		case a.outcome != open:
 		case a.stop || a.job.over():
 			p.Freeing = p.Freeing.Plus(placement.Of(a.job.spec), 1)
-		case a.durable && plans[a.job] != nil:
-			v := &placement.Placed{Job: plans[a.job], N: a.n}
+		case a.durable:
+			j := jobs[a.job]
+			if j == nil {
+				j = &placement.Job{Spec: a.job.spec, Guaranteed: a.job.covered}
+				jobs[a.job] = j
+			}
+			v := &placement.Placed{Job: j, N: a.n}
 			if a.seen == workers.Running {
 				v.RanS = now.Sub(a.since).Seconds()
 			}
@@ -168,7 +196,6 @@
 	slices.SortFunc(p.Tasks, func(a, b *placement.Placed) int {
 		return cmp.Compare(placed[a].attempt, placed[b].attempt)
 	})
-	return p
 }
 
 // Ratios for finding slow machines. Tasks of one job take much the same time.
@@ -191,7 +218,7 @@
 // batch work off them that would be over sooner elsewhere.
 func (l *Leader) findSlow(now time.Time) {
 	for _, m := range l.machines {
-		if m.phase != up || m.slow {
+		if m.phase != up || m.offer.Slow {
 			continue
 		}
 		for _, a := range m.assigned {
@@ -199,11 +226,11 @@
 			// What an earlier leader began has run for longer than we have seen.
 			if a.outcome == open && a.seen == workers.Running && a.job.spec.Shape == jobs.Batch && took > tooLong(a.job) {
 				slog.Info("machine slow", "machine", m.id, "term", l.token, "task", a.name(), "ranS", took)
-				m.slow = true
+				m.offer.Slow = true
 				break
 			}
 		}
-		if !m.slow {
+		if !m.offer.Slow {
 			continue
 		}
 		services := false
@@ -215,6 +242,7 @@
 			}
 		}
 		m.draining = m.draining || !services
+		l.shelve(m, now)
 		l.replan = true
 	}
 }
@@ -228,6 +256,7 @@
 	return &types[i]
 }
 
+// assign gives a task to a machine, as far as this leader is concerned.
 func (l *Leader) assign(j *job, n int, m *machine, now time.Time) {
 	l.attempts++
 	a := &assignment{job: j, n: n, attempt: l.attempts, session: m.session, m: m, since: now, born: now}
@@ -235,6 +264,5 @@
 	l.count(a)
 	m.assigned[a.attempt] = a
 	j.tasks[n] = a
-	j.taken(n)
-	l.touch(m)
+	l.book.begins = append(l.book.begins, a)
 }
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -77,7 +77,7 @@
 	s := &Status{
 		Term: l.term.Token, Token: l.token, PictureS: l.pictureAge(now).Seconds(),
 		Held: l.watch.Held(now), Disrupted: l.watch.Disrupted(),
-		WriteQueue: len(l.finals) + len(l.chunks) + len(l.dirty),
+		WriteQueue: len(l.finals) + len(l.book.begins) + len(l.book.ends) + len(l.book.chunks),
 		Machines:   []MachineStatus{}, Classes: []ClassStatus{}, Teams: []TeamStatus{},
 	}
 	for _, m := range l.machines {
@@ -100,7 +100,7 @@
 		c.Jobs++
 		c.Placed += len(j.tasks)
 		c.Done += j.doneCount
-		c.Waiting += max(0, j.spec.Tasks-j.doneCount-len(j.tasks))
+		c.Waiting += j.waiting
 	}
 	for _, c := range classes {
 		s.Classes = append(s.Classes, *c)
--- a/internal/control/tasks.go
+++ b/internal/control/tasks.go
@@ -13,24 +13,52 @@
 func (l *Leader) count(a *assignment) {
 	need := placement.Of(a.job.spec)
 	a.inRoom = true
-	a.m.room = a.m.room.Plus(need, 1)
+	l.setRoom(a.m, a.m.room.Plus(need, 1))
 	l.used[a.job.spec.Team] = l.used[a.job.spec.Team].Plus(need, 1)
+	l.ranks[a.job.spec.Rank()]++
 	a.job.zones[a.m.zone]++
 }
 
+// setRoom notes what assignments take of a machine.
+func (l *Leader) setRoom(m *machine, room placement.Amount) {
+	m.room = room
+	l.shelves.Set(m.offer, m.offer.Total.Plus(room, -1))
+}
+
+// shelve offers a machine to placement while it takes work.
+func (l *Leader) shelve(m *machine, now time.Time) {
+	if !l.usable(m, now) {
+		l.shelves.Remove(m.offer)
+		return
+	}
+	if o := m.offer; o.Total == (placement.Amount{}) || o.Type != m.typ || o.Zone != m.zone || o.Spot != m.spot {
+		t := l.machineType(m.typ)
+		if t == nil {
+			return
+		}
+		l.shelves.Remove(o)
+		o.Type, o.Zone, o.Spot = m.typ, m.zone, m.spot
+		o.Total = placement.Amount{CPUs: t.CPUs, GPUs: t.GPUs, RAMGB: t.RAMGB}
+		o.Free = o.Total.Plus(m.room, -1)
+	}
+	l.shelves.Put(m.offer)
+}
+
 // over ends an assignment whose task is certainly off its machine. It is
-// forgotten, and a task that is not done pending again, once the record
-// without it is durable: until then a new leader would still find it there.
+// forgotten, and a task that is not done pending again, once that is durable:
+// until then a new leader would still find it there.
 func (l *Leader) over(a *assignment, o outcome) {
 	if a.outcome != open {
 		return
 	}
 	j, m, need := a.job, a.m, placement.Of(a.job.spec)
+	l.see(a, "")
 	a.outcome = o
 	if a.inRoom {
 		a.inRoom = false
-		m.room = m.room.Plus(need, -1)
+		l.setRoom(m, m.room.Plus(need, -1))
 		l.used[j.spec.Team] = l.used[j.spec.Team].Plus(need, -1)
+		l.ranks[j.spec.Rank()]--
 		j.zones[m.zone]--
 	}
 	if o == success && !j.over() && j.setDone(a.n) {
@@ -40,11 +68,22 @@
 			l.chunkDirty(j, a.n/l.Derived.ChunkTasks)
 		}
 	}
-	l.touch(m)
+	l.book.end(a)
 	l.show(j)
 	l.replan = true
 }
 
+// see notes the state in which a task was seen.
+func (l *Leader) see(a *assignment, state string) {
+	if a.seen == workers.Running {
+		a.job.running--
+	}
+	if state == workers.Running {
+		a.job.running++
+	}
+	a.seen = state
+}
+
 // finish lets the job's record be written as done.
 func (l *Leader) finish(j *job) {
 	j.final = true
@@ -60,15 +99,7 @@
 	ch.saved = false
 	if !ch.dirty {
 		ch.dirty = true
-		l.chunks = append(l.chunks, chunkRef{j, c})
-	}
-}
-
-// touch queues a machine's record for writing.
-func (l *Leader) touch(m *machine) {
-	if !m.dirty {
-		m.dirty = true
-		l.dirty = append(l.dirty, m)
+		l.book.chunks = append(l.book.chunks, chunkRef{j, c})
 	}
 }
 
@@ -82,7 +113,8 @@
 	if j.tasks[a.n] == a {
 		delete(j.tasks, a.n)
 		if a.outcome == retry && !j.over() {
-			j.givenBack(a.n)
+			j.giveBack(a.n)
+			l.queue(j)
 		}
 	}
 	l.replan = true
@@ -95,7 +127,7 @@
 		l.over(a, retry)
 		return
 	}
-	a.m.poke = true
+	l.poke(a.m)
 }
 
 // observe takes a worker's own picture of its machine. It returns false for an
@@ -112,21 +144,18 @@
 			}
 		}
 		m.doubtSince = time.Time{}
+		l.replan = true
 	}
 	m.session, m.seq, m.token, m.picture = r.Session, r.Seq, r.Token, r.Tasks
 	m.addr, m.typ, m.zone, m.spot = r.Addr, r.Type, r.Zone, r.Spot
 	if r.NoticeS != nil {
 		l.notice(m, *r.NoticeS, now)
 	}
-	there := make(map[uint64]*workers.Task, len(r.Tasks))
-	for i := range r.Tasks {
-		there[r.Tasks[i].Attempt] = &r.Tasks[i]
-	}
 	for _, a := range m.assigned {
 		if a.outcome != open || a.session != r.Session {
 			continue
 		}
-		t := there[a.attempt]
+		t := taskIn(r, a.attempt)
 		if t == nil || t.Task != a.name() {
 			l.absent(a, r.Token)
 			continue
@@ -134,14 +163,14 @@
 		// One run is sent in one order only, so that one seen is one used up.
 		a.doubt, a.sent = 0, true
 		if a.seen != t.State {
-			slog.Debug("task seen", "task", a.name(), "machine", m.id, "term", l.token, "state", t.State)
+			slog.Debug("task seen", "task", t.Task, "machine", m.id, "term", l.token, "state", t.State)
 			if t.State == workers.Running {
 				if a.seen == workers.Fetching || !a.restored {
 					a.since = now
 				}
-				m.images[a.job.spec.Image] = now
+				m.offer.Images[a.job.spec.Image] = true
 			}
-			a.seen = t.State
+			l.see(a, t.State)
 			l.show(a.job)
 		}
 		if t.State == workers.Ended {
@@ -151,12 +180,22 @@
 	return true
 }
 
+func taskIn(r *workers.Report, attempt uint64) *workers.Task {
+	for i := range r.Tasks {
+		if r.Tasks[i].Attempt == attempt {
+			return &r.Tasks[i]
+		}
+	}
+	return nil
+}
+
 // absent judges an assignment that the newest picture does not show.
 func (l *Leader) absent(a *assignment, token uint64) {
 	if !a.durable || a.ordered || a.doubt != 0 && token <= a.doubt {
 		return // it may be on its way
 	}
-	a.doubt, a.sent, a.seen = 0, false, ""
+	a.doubt, a.sent = 0, false
+	l.see(a, "")
 	if a.job.over() || a.stop {
 		l.over(a, retry)
 	}
@@ -177,16 +216,17 @@
 		// a row is its user's mistake: it goes on being tried, ever more rarely.
 		j.errors++
 		m.failures[j.id] = true
-		m.avoid[j.id] = now.Add(l.Derived.Lease)
+		m.shun(j.id, now.Add(l.Derived.Lease))
 		if j.errors > 2 {
 			j.notBefore = now.Add(min(l.Derived.Report<<min(j.errors-2, 6), l.Derived.Cancel))
 		}
 		if len(m.failures) > 1 && !m.draining {
 			slog.Info("machine suspected", "machine", m.id, "term", l.token, "reason", "several jobs failed on it")
 			m.draining = true
+			l.shelves.Remove(m.offer)
 		}
 	default: // no_room, busy, unknown: refused, and worth another try soon
-		m.avoid[j.id] = now.Add(l.Derived.Report)
+		m.shun(j.id, now.Add(l.Derived.Report))
 		if t.Cause == workers.CauseUnknown {
 			j.notBefore = now.Add(l.Derived.Report)
 		}
@@ -195,6 +235,23 @@
 	l.over(a, retry)
 }
 
+// shun keeps a job off a machine for a while.
+func (m *machine) shun(job string, until time.Time) {
+	m.avoid[job], m.offer.Avoid[job] = until, true
+}
+
+// unshun ends what is over by now.
+func (m *machine) unshun(now time.Time) (ended bool) {
+	for job, until := range m.avoid {
+		if now.After(until) {
+			delete(m.avoid, job)
+			delete(m.offer.Avoid, job)
+			ended = true
+		}
+	}
+	return ended
+}
+
 // notice prepares for the loss of a machine: what can save does so, and the
 // rest may still complete.
 func (l *Leader) notice(m *machine, inS float64, now time.Time) {
@@ -202,6 +259,7 @@
 		slog.Info("machine will be taken", "machine", m.id, "term", l.token, "inS", inS)
 	}
 	m.draining = true
+	l.shelves.Remove(m.offer)
 	m.noticeUntil = now.Add(time.Duration(inS * float64(time.Second)))
 	for _, a := range m.assigned {
 		if s := a.job.spec; s.CheckpntS > 0 && s.SaveS < inS && !a.stop {
@@ -225,27 +283,76 @@
 	if _, gone := l.gone[r.Machine]; m == nil && gone {
 		return nil
 	}
+	c := counter(r)
+	if m != nil {
+		if r.Session < m.session || c == m.lastReport || c.Before(m.lastReport) {
+			return nil // from before a lease that has run out, or a late copy
+		}
+		// Whoever gets an answer has its lease renewed by it.
+		m.leaseUntil = now.Add(l.Derived.LeaseOver)
+	}
+	if r.Token < l.term.Token {
+		// Sent before the worker heard of this term, or a copy of such a report
+		// that was under way for any length of time. It proves nothing; the
+		// answer brings the token, and with it a report that does.
+		return &workers.Answer{Token: l.token, Calls: []workers.Call{}}
+	}
 	if m == nil {
 		m = newMachine(r.Machine, now)
 		m.typ, m.zone, m.spot, m.addr = r.Type, r.Zone, r.Spot, r.Addr
+		m.leaseUntil = now.Add(l.Derived.LeaseOver)
 		l.machines[r.Machine] = m
 	}
-	if r.Session < m.session {
-		return nil // from before a lease that has run out
-	}
+	m.lastReport = c
 	if m.phase == booting {
 		l.booted(m, now)
 	}
-	l.watch.Heard(m.id, r.Zone, counter(r), now)
+	l.heed(m, r, now)
+	l.watch.Heard(m.id, r.Zone, c, now)
 	if m.dead && !l.watch.Judged(m.id) {
 		m.dead = false
 		slog.Info("machine reports again", "machine", m.id, "term", l.token)
 	}
-	if l.observe(m, r, now) {
-		l.replan = true
+	l.observe(m, r, now)
+	m.reported = now
+	l.shelve(m, now)
+	calls := l.calls(m, true)
+	m.told = calls
+	return &workers.Answer{Token: l.token, Calls: calls}
+}
+
+// mostUnheeded is how many answers in a row may go unheeded.
+const mostUnheeded = 2
+
+// heed finds machines whose reports arrive while our answers do not: what an
+// answer asked for has not happened by the next report. Such a machine would
+// look healthy for ever, and task after task would be given to it in vain.
+func (l *Leader) heed(m *machine, r *workers.Report, now time.Time) {
+	heard := len(m.told) == 0
+	for _, c := range m.told {
+		t := taskIn(r, c.Attempt)
+		switch {
+		case c.Op == workers.OpRun:
+			heard = heard || t != nil
+		case c.Op == workers.OpClear:
+			heard = heard || t == nil
+		default:
+			heard = heard || t == nil || t.State != workers.Running && t.State != workers.Fetching
+		}
+	}
+	switch {
+	case r.Session > m.session || len(m.told) == 0: // nothing to be learnt
+	case heard:
+		m.unheeded = 0
+		l.watch.Hears(m.id)
+	default:
+		m.unheeded++
+		if m.unheeded == mostUnheeded {
+			slog.Info("machine does not hear", "machine", m.id, "term", l.token)
+			l.watch.Deaf(m.id)
+			l.replan = true
+		}
 	}
-	m.reported, m.leaseUntil = now, now.Add(l.Derived.LeaseOver)
-	return &workers.Answer{Token: l.token, Calls: l.calls(m, true)}
 }
 
 // calls returns what the worker should do, from the difference between its
--- a/internal/control/write.go
+++ b/internal/control/write.go
@@ -32,54 +32,48 @@
 
 func (b *batch) add(key string, mark uint64, value json.RawMessage, learn func(uint64)) {
 	b.guards = append(b.guards, state.Guard{Key: key, Mark: mark})
-	if value == nil {
-		b.writes = append(b.writes, state.Write{Remove: key})
-	} else {
-		b.writes = append(b.writes, state.Write{Set: key, Value: value})
-	}
+	b.writes = append(b.writes, state.Write{Set: key, Value: value})
 	b.bytes += 2*len(key) + len(value)
 	b.marks[key] = learn
 }
 
 // flush starts the next transaction.
-func (l *Leader) flush(ctx context.Context) {
-	if l.writing || !l.raise && len(l.finals) == 0 && len(l.chunks) == 0 && len(l.dirty) == 0 || !l.Valid() {
+func (l *Leader) flush(ctx context.Context, now time.Time) {
+	if l.writing || !l.raise && len(l.finals) == 0 && !l.book.waiting() || now.Sub(l.flushedAt) < l.Derived.FlushGap || !l.Valid() {
 		return
 	}
+	l.flushedAt = now
 	b := &batch{marks: map[string]func(uint64){}}
-	room := func(n int) bool {
-		return len(b.writes)+n <= l.Derived.TxnOps && b.bytes < txnBytes
-	}
-	if l.raise {
+	l.book.grow()
+	// The pages of a transaction whose outcome is open come first of all.
+	left := l.Derived.TxnOps - l.book.again
+	if l.raise && left > 0 {
 		l.addToken(b)
+		left--
 	}
-	// Ends first, and half of the room for the rest if there is any.
-	limit := l.Derived.TxnOps
-	if len(l.dirty) > 0 {
-		limit = max(1, limit/2)
+	// Then ends of jobs, in half of the room if there is anything else.
+	limit := len(b.writes) + left
+	if l.book.again == 0 && l.book.waiting() {
+		limit = len(b.writes) + max(1, left/2)
 	}
-	for len(l.finals) > 0 && room(1+len(l.finals[0].chunks)) && (len(b.writes) < limit) {
+	for len(l.finals) > 0 && len(b.writes) < limit {
 		j := l.finals[0]
 		l.finals = l.finals[1:]
 		l.addFinal(b, j)
 	}
-	for len(l.chunks) > 0 && room(1) && len(b.writes) < limit {
-		ref := l.chunks[0]
-		l.chunks = l.chunks[1:]
-		l.addChunk(b, ref)
-	}
-	for len(l.dirty) > 0 && room(1) {
-		m := l.dirty[0]
-		l.dirty = l.dirty[1:]
-		m.dirty = false
-		l.addMachine(b, m)
+	pages := 0
+	for ; pages < len(l.book.pages) && len(b.writes) < l.Derived.TxnOps; pages++ {
+		must := pages < l.book.again
+		if !must && (!l.book.waiting() || b.bytes+l.book.most > txnBytes) {
+			break
+		}
+		l.addPage(b, pages, pages+1 >= l.book.again)
+		l.book.again = max(l.book.again, pages+1) // until the outcome is known
 	}
 	if len(b.writes) == 0 {
-		for _, f := range b.done {
-			f(0)
-		}
 		return
 	}
+	b.done = append(b.done, func(uint64) { l.book.turn(pages) })
 	b.guards = append(b.guards, state.Guard{Key: term.HolderKey, Mark: l.term.Mark})
 	l.writing = true
 	go func() {
@@ -110,11 +104,6 @@
 	}
 	rec := jobs.Record{Tasks: j.spec.Tasks, Spec: j.spec}
 	b.add(jobs.RecordKey(j.id), j.mark, rec.Ended(jobs.Done), func(uint64) {})
-	for c, ch := range j.chunks {
-		if ch.mark != 0 {
-			b.add(chunkKey(j.id, c), ch.mark, nil, func(m uint64) { ch.mark = m })
-		}
-	}
 	b.undo = append(b.undo, func() { l.finals = append(l.finals, j) })
 	b.done = append(b.done, func(uint64) {
 		slog.Debug("job done", "job", j.id, "term", l.token)
@@ -124,103 +113,9 @@
 
 func (l *Leader) finalDone(j *job) {
 	j.mark = 0
-	for _, ch := range j.chunks {
-		ch.saved, ch.mark = true, 0
-	}
-	for _, a := range j.tasks {
-		l.touch(a.m) // what waited for the completion to be durable
-	}
 	l.settled(j)
 }
 
-func (l *Leader) addChunk(b *batch, ref chunkRef) {
-	j, ch := ref.j, ref.j.chunks[ref.c]
-	ch.dirty = false
-	if j.over() {
-		// The record of the job's end takes its place.
-		if j.cancelled && ch.mark != 0 {
-			b.add(chunkKey(j.id, ref.c), ch.mark, nil, func(m uint64) { ch.mark = m })
-			b.undo = append(b.undo, func() { l.chunks = append(l.chunks, ref) })
-			b.done = append(b.done, func(uint64) { ch.mark = 0 })
-		}
-		return
-	}
-	b.add(chunkKey(j.id, ref.c), ch.mark, j.chunkValue(ref.c, l.Derived.ChunkTasks), func(m uint64) { ch.mark = m })
-	b.undo = append(b.undo, func() { l.chunkDirty(j, ref.c) })
-	b.done = append(b.done, func(rev uint64) {
-		ch.mark = rev
-		for _, a := range j.tasks {
-			if a.outcome == success {
-				l.touch(a.m)
-			}
-		}
-	})
-	// As far as this transaction goes: chunkDirty takes it back if it fails,
-	// or if more tasks complete meanwhile.
-	ch.saved = true
-}
-
-// completionSaved tells whether a completion is durable, or goes into the
-// transaction that is being put together.
-func (l *Leader) completionSaved(b *batch, a *assignment) bool {
-	j := a.job
-	if j.cancelled || j.final && j.mark == 0 {
-		return true
-	}
-	if _, ok := b.marks[jobs.RecordKey(j.id)]; ok {
-		return true
-	}
-	ch := j.chunks[a.n/l.Derived.ChunkTasks]
-	return ch != nil && ch.saved
-}
-
-func (l *Leader) addMachine(b *batch, m *machine) {
-	rec := machineRecord{Addr: m.addr, Type: m.typ, Zone: m.zone, Spot: m.spot, Session: m.session, Dead: m.dead}
-	var kept, gone []*assignment
-	for _, a := range m.assigned {
-		if a.outcome == retry || a.outcome == success && l.completionSaved(b, a) {
-			gone = append(gone, a)
-			continue
-		}
-		kept = append(kept, a)
-		rec.Tasks = append(rec.Tasks, taskRecord{a.job.id, a.n, a.attempt})
-	}
-	slices.SortFunc(rec.Tasks, func(x, y taskRecord) int {
-		if x.Attempt < y.Attempt {
-			return -1
-		}
-		return 1
-	})
-	after := func(rev uint64) {
-		for _, a := range kept {
-			if !a.durable {
-				a.durable = true
-				m.poke = true
-			}
-		}
-		for _, a := range gone {
-			l.forget(a)
-		}
-	}
-	var value json.RawMessage
-	if len(rec.Tasks) > 0 {
-		value, _ = json.Marshal(rec)
-	} else if m.mark == 0 {
-		b.done = append(b.done, after)
-		b.undo = append(b.undo, func() { l.touch(m) })
-		return // no record, and none needed
-	}
-	b.add(machinePrefix+m.id, m.mark, value, func(mark uint64) { m.mark = mark })
-	b.undo = append(b.undo, func() { l.touch(m) })
-	b.done = append(b.done, func(rev uint64) {
-		m.mark = rev
-		if value == nil {
-			m.mark = 0
-		}
-		after(rev)
-	})
-}
-
 // written takes in the outcome of a transaction.
 func (l *Leader) written(ctx context.Context, b *batch, rev uint64, failed []string, err error) {
 	l.stuck = err != nil
@@ -231,7 +126,8 @@
 		}
 		return
 	}
-	for _, f := range b.undo {
+	// The latest first, so that what goes back to the head of a queue is in order.
+	for _, f := range slices.Backward(b.undo) {
 		f()
 	}
 	if err != nil {
--- a/internal/fleet/cloud.go
+++ b/internal/fleet/cloud.go
@@ -156,22 +156,23 @@
 	return c.do(ctx, http.MethodPost, "/rentals/release", map[string][]string{"hosts": ids}, nil)
 }
 
-// List returns the cloud's machines as they were some time ago.
-func (c *Cloud) List(ctx context.Context) ([]Listed, error) {
-	var all []Listed
+// List returns the cloud's machines as they were some time ago, and how many
+// requests that took.
+func (c *Cloud) List(ctx context.Context) (all []Listed, pages int, err error) {
 	after := ""
 	for {
+		pages++
 		var page struct {
 			Machines []Listed `json:"hosts"`
 			More     bool     `json:"hasNext"`
 		}
 		path := fmt.Sprintf("/rentals?after=%s&most=%d", url.QueryEscape(after), maxPage)
 		if err := c.do(ctx, http.MethodGet, path, nil, &page); err != nil {
-			return nil, err
+			return nil, pages, err
 		}
 		all = append(all, page.Machines...)
 		if !page.More || len(page.Machines) == 0 {
-			return all, nil
+			return all, pages, nil
 		}
 		after = page.Machines[len(page.Machines)-1].ID
 	}
--- a/internal/fleet/forecast.go
+++ b/internal/fleet/forecast.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"container/heap"
 	"math"
 	"slices"
 
@@ -47,27 +48,52 @@
 	late := make([]int, len(queue))
 	for i, w := range queue {
 		need := placement.Of(w.Spec)
-		for n := range w.Count {
-			best, at := -1, math.Inf(1)
-			for r := range rooms {
-				if !w.Spec.Allows(rooms[r].Type, rooms[r].Zone, rooms[r].Spot) {
-					continue
-				}
-				if t := rooms[r].earliest(need); t < at {
-					best, at = r, t
-				}
+		var next openings
+		for r := range rooms {
+			if !w.Spec.Allows(rooms[r].Type, rooms[r].Zone, rooms[r].Spot) {
+				continue
+			}
+			if at := rooms[r].earliest(need); at+w.RunS <= w.DueS {
+				next.heap = append(next.heap, opening{at, r})
 			}
-			if best < 0 || at+w.RunS > w.DueS {
+		}
+		heap.Init(&next)
+		for n := range w.Count {
+			if len(next.heap) == 0 || next.heap[0].at+w.RunS > w.DueS {
 				// So would all that follow: later tasks find no earlier room.
 				late[i] = w.Count - n
 				break
 			}
-			rooms[best].take(need, at, w.RunS)
+			r := &rooms[next.heap[0].room]
+			r.take(need, next.heap[0].at, w.RunS)
+			next.heap[0].at = r.earliest(need)
+			heap.Fix(&next, 0)
 		}
 	}
 	return late
 }
 
+// opening is when a machine has room for one more task.
+type opening struct {
+	at   float64
+	room int
+}
+
+// openings is a heap, the earliest first.
+type openings struct{ heap []opening }
+
+func (o *openings) Len() int { return len(o.heap) }
+func (o *openings) Less(a, b int) bool {
+	return o.heap[a].at < o.heap[b].at || o.heap[a].at == o.heap[b].at && o.heap[a].room < o.heap[b].room
+}
+func (o *openings) Swap(a, b int) { o.heap[a], o.heap[b] = o.heap[b], o.heap[a] }
+func (o *openings) Push(x any)    { o.heap = append(o.heap, x.(opening)) }
+func (o *openings) Pop() any {
+	last := o.heap[len(o.heap)-1]
+	o.heap = o.heap[:len(o.heap)-1]
+	return last
+}
+
 // earliest is when a machine has room.
 func (r *Room) earliest(need placement.Amount) float64 {
 	free, at := r.Free, r.From
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -15,12 +15,6 @@
 	Count int
 }
 
-// Coming is a machine that will take work once it is up.
-type Coming struct {
-	Kind
-	Free placement.Amount
-}
-
 // Market is what the planner may choose from.
 type Market struct {
 	Types   []jobs.MachineType
@@ -28,9 +22,22 @@
 	Refused func(k Kind) bool // no capacity a short while ago
 }
 
+// room is what is free on machines that will take work once they are up. Most of
+// them are alike, so that they are counted, not listed.
+type room struct {
+	Kind
+	free placement.Amount
+}
+
 // Plan returns what to rent: each need goes to the machines that are coming
 // first and, for the rest, to the kind that costs least for each of its tasks.
-func Plan(needs []Need, coming []Coming, mk Market) map[Kind]int {
+func Plan(needs []Need, coming map[Kind]int, mk Market) map[Kind]int {
+	rooms := map[room]int{}
+	for k, n := range coming {
+		if t := typeOf(k, mk.Types); t != nil && n > 0 {
+			rooms[room{k, amount(*t)}] += n
+		}
+	}
 	rent := map[Kind]int{}
 	for _, n := range needs {
 		zones := map[string]int{}
@@ -38,32 +45,52 @@
 			zones[z] = c
 		}
 		for left := n.Count; left > 0; left-- {
-			i := pick(n.Spec, zones, coming)
-			if i < 0 {
+			r, ok := pick(n.Spec, zones, rooms)
+			if !ok {
 				t, k, ok := cheapest(n.Spec, zones, left, rent, mk)
 				if !ok {
 					break
 				}
 				rent[k]++
-				coming = append(coming, Coming{k, placement.Amount{CPUs: t.CPUs, GPUs: t.GPUs, RAMGB: t.RAMGB}})
-				i = len(coming) - 1
+				r = room{k, amount(t)}
+				rooms[r]++
+			}
+			if rooms[r]--; rooms[r] == 0 {
+				delete(rooms, r)
 			}
-			coming[i].Free = coming[i].Free.Plus(placement.Of(n.Spec), -1)
-			zones[coming[i].Zone]++
+			rooms[room{r.Kind, r.free.Plus(placement.Of(n.Spec), -1)}]++
+			zones[r.Zone]++
 		}
 	}
 	return rent
 }
 
-func pick(s *jobs.Spec, zones map[string]int, coming []Coming) int {
-	best := -1
-	for i, m := range coming {
-		if s.Allows(m.Type, m.Zone, m.Spot) && m.Free.Fits(placement.Of(s)) && placement.ZoneOpen(s, zones, m.Zone) &&
-			(best < 0 || m.Free.CPUs < coming[best].Free.CPUs) {
-			best = i
+func amount(t jobs.MachineType) placement.Amount {
+	return placement.Amount{CPUs: t.CPUs, GPUs: t.GPUs, RAMGB: t.RAMGB}
+}
+
+func typeOf(k Kind, types []jobs.MachineType) *jobs.MachineType {
+	for i := range types {
+		if types[i].Name == k.Type {
+			return &types[i]
+		}
+	}
+	return nil
+}
+
+// pick returns the fullest room for a task.
+func pick(s *jobs.Spec, zones map[string]int, rooms map[room]int) (best room, found bool) {
+	for r := range rooms {
+		if !s.Allows(r.Type, r.Zone, r.Spot) || !r.free.Fits(placement.Of(s)) || !placement.ZoneOpen(s, zones, r.Zone) {
+			continue
+		}
+		if !found || cmp.Or(
+			cmp.Compare(r.free.CPUs, best.free.CPUs), cmp.Compare(r.free.RAMGB, best.free.RAMGB),
+			cmp.Compare(r.Type, best.Type), cmp.Compare(r.Zone, best.Zone), first(r.Spot, best.Spot)) < 0 {
+			best, found = r, true
 		}
 	}
-	return best
+	return best, found
 }
 
 func cheapest(s *jobs.Spec, zones map[string]int, left int, rent map[Kind]int, mk Market) (jobs.MachineType, Kind, bool) {
@@ -103,7 +130,7 @@
 
 // fit is how many of a job's tasks an empty machine takes.
 func fit(t jobs.MachineType, s *jobs.Spec) int {
-	room, n := placement.Amount{CPUs: t.CPUs, GPUs: t.GPUs, RAMGB: t.RAMGB}, 0
+	room, n := amount(t), 0
 	for room.Fits(placement.Of(s)) && n < jobs.MaxTasks {
 		room = room.Plus(placement.Of(s), -1)
 		n++
@@ -118,12 +145,12 @@
 		kinds = append(kinds, k)
 	}
 	slices.SortFunc(kinds, func(a, b Kind) int {
-		return cmp.Or(cmp.Compare(a.Type, b.Type), cmp.Compare(a.Zone, b.Zone), boolCmp(a.Spot, b.Spot))
+		return cmp.Or(cmp.Compare(a.Type, b.Type), cmp.Compare(a.Zone, b.Zone), first(a.Spot, b.Spot))
 	})
 	return kinds
 }
 
-func boolCmp(a, b bool) int {
+func first(a, b bool) int {
 	switch {
 	case a == b:
 		return 0
--- a/internal/fleet/plan_test.go
+++ b/internal/fleet/plan_test.go
@@ -6,7 +6,6 @@
 	"github.com/google/go-cmp/cmp"
 
 	"ospreyslip/internal/jobs"
-	"ospreyslip/internal/placement"
 )
 
 var market = []jobs.MachineType{
@@ -27,7 +26,7 @@
 	for _, tc := range []struct {
 		name    string
 		needs   []Need
-		coming  []Coming
+		coming  map[Kind]int
 		refused func(Kind) bool
 		want    map[Kind]int
 	}{
@@ -38,7 +37,7 @@
 		{"no spot machine for work that may not use one", []Need{need(1, func(s *jobs.Spec) { s.Spot = false })}, nil, never,
 			map[Kind]int{{"small", "a", false}: 1}},
 		{"what is coming is used first", []Need{need(3, nil)},
-			[]Coming{{Kind{"small", "b", true}, placement.Amount{CPUs: 4, RAMGB: 16}}}, never,
+			map[Kind]int{{"small", "b", true}: 1}, never,
 			map[Kind]int{{"small", "a", true}: 1}},
 		{"what was refused is left alone", []Need{need(1, nil)}, nil,
 			func(k Kind) bool { return k.Spot && k.Zone == "a" },
--- a/internal/jobs/api.go
+++ b/internal/jobs/api.go
@@ -22,6 +22,7 @@
 	Settings *settings.Settings
 	Derived  settings.Derived
 	Store    *state.Client
+	Mirror   *Mirror
 	// Catalog returns the machine types, or nil while they are not known.
 	Catalog func() []MachineType
 	// Counts returns a job's counts for display, where this node knows them.
@@ -200,11 +201,11 @@
 		refuse(w, http.StatusNotFound, "no such job")
 		return
 	}
-	rec, _, err := a.read(ctx, id)
+	rec, found, err := a.Mirror.Get(ctx, id)
 	switch {
 	case err != nil:
 		a.later(w, "state service does not answer")
-	case rec == nil:
+	case !found:
 		refuse(w, http.StatusNotFound, "no such job")
 	default:
 		var c Counts
@@ -213,7 +214,7 @@
 		} else if a.Counts != nil && !rec.Over() {
 			c, _ = a.Counts(id)
 		}
-		reply(w, http.StatusOK, view{ID: id, Stance: a.stance(id, rec), Done: &c.Done, Running: &c.Running})
+		reply(w, http.StatusOK, view{ID: id, Stance: a.stance(id, &rec), Done: &c.Done, Running: &c.Running})
 	}
 }
 
--- /dev/null
+++ b/internal/jobs/mirror.go
@@ -0,0 +1,147 @@
+package jobs
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"ospreyslip/internal/state"
+)
+
+// Mirror is this node's copy of all jobs' stances. It answers users' polls at the
+// cost of one read of the state service for all polls that wait at a time.
+//
+// An answer is as good as a read of its own record: the mirror holds every job
+// as of a revision, and is brought up to date by a read of the changes since
+// that begins after the poll came in.
+type Mirror struct {
+	store *state.Client
+	gap   time.Duration // least time between two reads
+	idle  time.Duration // the mirror is kept up to date without polls, too
+	asks  chan chan error
+
+	mu   sync.RWMutex
+	jobs map[string]brief
+	// Owned by Run.
+	whole    bool
+	revision uint64
+}
+
+// brief is what a poll needs of a record.
+type brief struct {
+	stance string
+	tasks  int
+}
+
+// NewMirror makes an empty mirror; Run fills it.
+func NewMirror(store *state.Client, gap, idle time.Duration) *Mirror {
+	return &Mirror{store: store, gap: gap, idle: idle, asks: make(chan chan error), jobs: map[string]brief{}}
+}
+
+// Get returns a job as of a moment after the call. Found is false for one that
+// was not accepted by then.
+func (m *Mirror) Get(ctx context.Context, id string) (rec Record, found bool, err error) {
+	fresh := make(chan error, 1)
+	select {
+	case m.asks <- fresh:
+	case <-ctx.Done():
+		return Record{}, false, ctx.Err()
+	}
+	select {
+	case err := <-fresh:
+		if err != nil {
+			return Record{}, false, err
+		}
+	case <-ctx.Done():
+		return Record{}, false, ctx.Err()
+	}
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	b, found := m.jobs[id]
+	return Record{Stance: b.stance, Tasks: b.tasks}, found, nil
+}
+
+// Run reads for those who ask until the context ends. Who asks while a read is
+// under way waits for the next: that one may have been carried out already.
+func (m *Mirror) Run(ctx context.Context) {
+	var lastRead time.Time
+	for {
+		var waiting []chan error
+		select {
+		case <-ctx.Done():
+			return
+		case c := <-m.asks:
+			waiting = append(waiting, c)
+		case <-time.After(m.idle):
+		}
+		pause := time.After(m.gap - time.Since(lastRead))
+		for pausing := true; pausing; {
+			select {
+			case <-ctx.Done():
+				return
+			case c := <-m.asks:
+				waiting = append(waiting, c)
+			case <-pause:
+				pausing = false
+			}
+		}
+		lastRead = time.Now()
+		err := m.read(ctx)
+		for _, c := range waiting {
+			c <- err
+		}
+	}
+}
+
+// read brings the mirror up to date.
+func (m *Mirror) read(ctx context.Context) error {
+	if m.whole {
+		revision, changes, err := m.store.Watch(ctx, RecordPrefix, m.revision, 0)
+		if err == nil {
+			for _, c := range changes {
+				if c.Set != "" {
+					m.set(c.Set, c.Value)
+				}
+			}
+			m.revision = max(m.revision, revision)
+			return nil
+		}
+		if !errors.Is(err, state.ErrCompacted) {
+			return err
+		}
+		m.whole = false
+	}
+	// Records are never removed, so that what is known of them is only added to.
+	pairs, revision, err := m.store.List(ctx, RecordPrefix)
+	if err != nil {
+		return err
+	}
+	for _, p := range pairs {
+		m.set(p.Key, p.Value)
+	}
+	m.whole, m.revision = true, revision
+	return nil
+}
+
+func (m *Mirror) set(key string, value json.RawMessage) {
+	var rec struct {
+		Stance string `json:"stance"`
+		Tasks  int    `json:"tasks"`
+	}
+	if err := json.Unmarshal(value, &rec); err != nil {
+		slog.Error("job record unreadable", "key", key, "reason", err)
+		return
+	}
+	b := brief{tasks: rec.Tasks}
+	for _, s := range []string{Queued, Done, Cancelled} {
+		if s == rec.Stance {
+			b.stance = s // one copy of the text for all jobs
+		}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.jobs[IDOf(key)] = b
+}
--- a/internal/jobs/record.go
+++ b/internal/jobs/record.go
@@ -13,12 +13,8 @@
 	Cancelled = "aborted"
 )
 
-const (
-	// RecordPrefix holds one key a job, which is never removed.
-	RecordPrefix = "job/"
-	// ChunkPrefix holds the completions of unfinished jobs.
-	ChunkPrefix = "done/"
-)
+// RecordPrefix holds one key a job, which is never removed.
+const RecordPrefix = "job/"
 
 // Record is what the state service keeps of a job. It is written when the job
 // is accepted and once more when it ends, guarded by its revision, so that a
--- a/internal/liveness/liveness.go
+++ b/internal/liveness/liveness.go
@@ -14,7 +14,8 @@
 	SilentFor time.Duration // unheard for so long, a machine looks dead
 	LeaseOver time.Duration // by then a worker has ended its tasks by itself
 	HoldGrace time.Duration // how long one floor holds all verdicts
-	Gap       time.Duration // between two verdicts in a zone
+	Gap       time.Duration // between two verdicts in a zone of up to ZoneSize machines, less in larger ones
+	ZoneSize  int
 }
 
 // Counter orders the messages of one worker.
@@ -55,6 +56,8 @@
 	floor     Counter   // set: the report that ends the hold
 	holdUntil time.Time // a floor holds no longer than this
 	dawdles   bool      // a hold ran out on it; it may not cause another
+	suspect   bool      // there are signs that it is gone: it is called before it falls silent
+	deaf      bool      // its reports arrive, but it does not hear us
 }
 
 // Watch keeps the picture of all machines. One goroutine owns it.
@@ -97,7 +100,10 @@
 	}
 	m.zone, m.heard, m.known, m.calls = zone, now, c, 0
 	w.lastHeard = now
-	m.synced, m.judged, m.dawdles, m.confirmed = true, false, false, ""
+	m.synced, m.dawdles, m.suspect = true, false, false
+	if !m.deaf {
+		m.judged, m.confirmed = false, ""
+	}
 	if w.disrupted {
 		w.leaveDisruption(now)
 	}
@@ -119,6 +125,29 @@
 	}
 }
 
+// Suspect takes in a sign that a machine is gone, such as that the cloud lists it
+// no more. It is called at once; only a call that fails confirms anything.
+func (w *Watch) Suspect(id string) {
+	if m := w.machines[id]; m != nil && m.synced {
+		m.suspect = true
+	}
+}
+
+// Deaf takes in that a machine's reports arrive but our answers do not. It does
+// not look healthy by its reports any more, until something reaches it again.
+func (w *Watch) Deaf(id string) {
+	if m := w.machines[id]; m != nil {
+		m.deaf = true
+	}
+}
+
+// Hears takes in that something has reached a machine.
+func (w *Watch) Hears(id string) {
+	if m := w.machines[id]; m != nil && m.deaf {
+		m.deaf, m.judged, m.confirmed = false, false, ""
+	}
+}
+
 // Judged tells whether a machine's death has been decided.
 func (w *Watch) Judged(id string) bool {
 	m := w.machines[id]
@@ -129,7 +158,7 @@
 // leader and is neither silent, dead nor dawdling.
 func (w *Watch) Placeable(id string, now time.Time) bool {
 	m := w.machines[id]
-	return m != nil && m.synced && !m.judged && !m.dawdles && m.confirmed == "" && !w.silent(m, now)
+	return m != nil && m.synced && !m.judged && !m.dawdles && m.confirmed == "" && !w.looksDead(m, now)
 }
 
 // Held tells whether a floor holds all verdicts.
@@ -153,6 +182,11 @@
 	return now.Sub(m.heard) > limit
 }
 
+// looksDead tells whether a machine is to be called.
+func (w *Watch) looksDead(m *machine, now time.Time) bool {
+	return m.suspect || m.deaf || w.silent(m, now)
+}
+
 // Tick returns the machines to call now and the verdicts to carry out.
 func (w *Watch) Tick(now time.Time) (calls []string, verdicts []Verdict) {
 	if w.allSilent(now) && !w.disrupted {
@@ -162,9 +196,13 @@
 		}
 	}
 	held := false
-	ids := make([]string, 0, len(w.machines))
+	var ids []string
+	zones := map[string]int{}
 	for id, m := range w.machines {
-		ids = append(ids, id)
+		zones[m.zone]++
+		if !m.judged && !m.calling && w.looksDead(m, now) {
+			ids = append(ids, id)
+		}
 		if m.floor == (Counter{}) {
 			continue
 		}
@@ -179,9 +217,6 @@
 	slices.Sort(ids)
 	for _, id := range ids {
 		m := w.machines[id]
-		if m.judged || m.calling || !w.silent(m, now) {
-			continue
-		}
 		if m.confirmed == "" {
 			if now.Before(m.callAfter) {
 				continue
@@ -194,7 +229,7 @@
 		// A leader that has just lost its connection finds machine after machine
 		// silent before it finds all of them so. A report that comes after the
 		// confirmation shows that it still hears anything at all.
-		if held || w.disrupted || !w.lastHeard.After(m.since) || !w.pacer(m.zone).Allow(now) {
+		if held || w.disrupted || !w.lastHeard.After(m.since) || !w.pacer(m.zone, zones[m.zone], now).Allow(now) {
 			continue
 		}
 		m.judged = true
@@ -210,7 +245,7 @@
 		return
 	}
 	m.calling = false
-	if !w.silent(m, now) {
+	if !w.looksDead(m, now) {
 		return // it reported meanwhile
 	}
 	if !ok {
@@ -218,6 +253,14 @@
 		m.confirmed, m.since = CallFailed, now
 		return
 	}
+	m.suspect = false
+	w.Hears(id)
+	if !w.silent(m, now) {
+		if m.known.Before(c) {
+			m.known, m.calls = c, 0
+		}
+		return // alive, whatever the signs were
+	}
 	// Each call of ours that arrived raised the counter by one, this one too.
 	// What is beyond them are reports that we have missed: our picture lags,
 	// and it may lag for every machine.
@@ -243,12 +286,19 @@
 	}
 }
 
-func (w *Watch) pacer(zone string) *Pacer {
+// gap is the time between two verdicts in a zone. The share of a zone that may
+// be given up in a given time is much the same, however large it is.
+func (w *Watch) gap(machines int) time.Duration {
+	return w.cfg.Gap / time.Duration(max(1, machines/max(1, w.cfg.ZoneSize)))
+}
+
+func (w *Watch) pacer(zone string, machines int, now time.Time) *Pacer {
 	p := w.pacers[zone]
 	if p == nil {
-		p = NewPacer(w.cfg.Gap)
+		p = NewPacer(w.gap(machines))
 		w.pacers[zone] = p
 	}
+	p.Swap(w.gap(machines), now)
 	return p
 }
 
@@ -273,6 +323,6 @@
 		m.heard, m.confirmed = now, ""
 	}
 	for _, p := range w.pacers {
-		p.Swap(w.cfg.Gap, now)
+		p.Swap(w.cfg.Gap, now) // and to the pace of its size with the next verdict
 	}
 }
--- a/internal/liveness/trace_test.go
+++ b/internal/liveness/trace_test.go
@@ -20,11 +20,13 @@
 //	2    restore m-1 a         known from an earlier leader
 //	3    order m-1             an order was sent, its answer is lost
 //	3    answered m-1 1/7      an order's answer
+//	4    suspect m-1           there are signs that it is gone
+//	4    deaf m-1              it does not hear our answers
 //	4    call m-1 failed       outcome of a call
 //	4    call m-1 1/6
 //	5    tick = call m-1; dead m-2 call failed; held; disrupted
 var traceConfig = Config{
-	SilentFor: 3 * time.Second, LeaseOver: 10 * time.Second, HoldGrace: 4 * time.Second, Gap: time.Second,
+	SilentFor: 3 * time.Second, LeaseOver: 10 * time.Second, HoldGrace: 4 * time.Second, Gap: time.Second, ZoneSize: 4,
 }
 
 func TestTraces(t *testing.T) {
@@ -67,6 +69,10 @@
 			w.Called(f[2])
 		case "answered":
 			w.Answered(f[2], parse(t, f[3]))
+		case "suspect":
+			w.Suspect(f[2])
+		case "deaf":
+			w.Deaf(f[2])
 		case "forget":
 			w.Forget(f[2])
 		case "call":
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -10,6 +11,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -245,3 +247,43 @@
 	}
 	return n
 }
+
+// inBook returns the assignments that the leaders' book still names.
+func (c *cluster) inBook() (live []string) {
+	type page struct {
+		Number uint64
+		Begun  []struct {
+			M     string
+			Tasks []struct {
+				J string
+				N int
+				A uint64
+			}
+		}
+		Over []uint64
+	}
+	var pages []page
+	for _, k := range c.world.State.Keys("book/") {
+		var p page
+		if err := json.Unmarshal(c.world.State.Value(k), &p); err != nil {
+			c.t.Errorf("%s: %v", k, err)
+		}
+		pages = append(pages, p)
+	}
+	slices.SortFunc(pages, func(a, b page) int { return cmp.Compare(a.Number, b.Number) })
+	names := map[uint64]string{}
+	for _, p := range pages {
+		for _, b := range p.Begun {
+			for _, t := range b.Tasks {
+				names[t.A] = fmt.Sprintf("%s/%d on %s", t.J, t.N, b.M)
+			}
+		}
+		for _, a := range p.Over {
+			delete(names, a)
+		}
+	}
+	for _, n := range names {
+		live = append(live, n)
+	}
+	return live
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -36,9 +36,12 @@
 // all nodes stay within the whole: the leader writes most of what is written.
 const (
 	leaderWrites   = 0.64
-	followerWrites = 0.16
-	requestShare   = 0.5
+	leaderRequests = 0.5
+	cloudShare     = 0.64
 	memoryShare    = 0.7
+	// collectAt is by how many percent the heap may grow between two collections:
+	// memory, within its limit, is cheaper here than processor time.
+	collectAt = 300
 )
 
 // Node is one controller.
@@ -46,6 +49,7 @@
 	set     *settings.Settings
 	d       settings.Derived
 	store   *state.Client
+	mirror  *jobs.Mirror
 	cloud   *fleet.Cloud
 	workers *workers.Client
 	keeper  *term.Keeper
@@ -68,8 +72,9 @@
 
 // transport makes connections to one kind of service: a few to each address,
 // all together within this node's sockets.
-func transport(each int) http.RoundTripper {
+func transport(each, all int) http.RoundTripper {
 	return &http.Transport{
+		MaxIdleConns:        all,
 		MaxIdleConnsPerHost: each,
 		MaxConnsPerHost:     2 * each,
 		IdleConnTimeout:     time.Minute,
@@ -80,11 +85,11 @@
 // New makes a node from checked settings.
 func New(set *settings.Settings, w Wire) *Node {
 	d := set.Derive()
-	pick := func(each int) http.RoundTripper {
+	pick := func(each, all int) http.RoundTripper {
 		if w.HTTP != nil {
 			return w.HTTP
 		}
-		return transport(each)
+		return transport(each, all)
 	}
 	if w.Dial == nil {
 		w.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
@@ -96,11 +101,9 @@
 		w.Listen = func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
 	}
 	n := &Node{set: set, d: d, listen: w.Listen, born: time.Now(), counts: control.NewCounts(), gate: &control.Gate{}}
-	n.workers = workers.NewClient(pick(2), d.CallWait)
-	n.store = state.New(set.Endpoints.State, pick(16), d.StateWait, state.Budget{
-		Requests: requestShare * set.Deployment.State.RPS,
-		Writes:   followerWrites * set.Deployment.State.WriteRPS,
-	})
+	n.workers = workers.NewClient(pick(2, d.WorkerConns), d.CallWait)
+	n.store = state.New(set.Endpoints.State, pick(16, 0), d.StateWait, n.budget(false))
+	n.mirror = jobs.NewMirror(n.store, d.PollGap, d.Cancel/4)
 	n.keeper = term.NewKeeper(set.Node, n.store, term.Timing{
 		Lease: d.TermLease, Renew: d.TermRenew, Safe: d.TermSafe, WatchWait: d.WatchWait, Retry: d.TermRenew,
 	})
@@ -120,7 +123,7 @@
 	if len(set.Peers) == set.Deployment.Nodes-1 {
 		n.keeper.AllPromise = n.hub.AllPromise
 	}
-	n.cloud = fleet.NewCloud(set.Endpoints.Cloud, pick(4), d.CloudWait, set.Deployment.Cloud.RPS*leaderWrites)
+	n.cloud = fleet.NewCloud(set.Endpoints.Cloud, pick(4, 0), d.CloudWait, set.Deployment.Cloud.RPS*cloudShare)
 	return n
 }
 
@@ -128,6 +131,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	// One thread at a time is all that a share of a core can use.
 	runtime.GOMAXPROCS(1)
+	debug.SetGCPercent(collectAt)
 	debug.SetMemoryLimit(int64(memoryShare * float64(n.d.MemoryBytes)))
 
 	ln, err := n.listen(n.set.Listen)
@@ -148,7 +152,7 @@
 	slog.Info("serving", "node", n.set.Node, "zone", n.set.Zone, "bind", n.set.Listen)
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error {
-		err := srv.Serve(netutil.LimitListener(ln, n.d.UserConns))
+		err := srv.Serve(netutil.LimitListener(ln, n.d.ServedConns))
 		if errors.Is(err, http.ErrServerClosed) {
 			return nil
 		}
@@ -167,7 +171,7 @@
 // Handler serves users and workers.
 func (n *Node) Handler() http.Handler {
 	mux := http.NewServeMux()
-	users := &jobs.API{Settings: n.set, Derived: n.d, Store: n.store, Catalog: n.types, Counts: n.counts.Get, Ready: n.ready}
+	users := &jobs.API{Settings: n.set, Derived: n.d, Store: n.store, Mirror: n.mirror, Catalog: n.types, Counts: n.counts.Get, Ready: n.ready}
 	users.Register(mux)
 	reports := &workers.Handler{Answer: n.gate.Report, Leader: func() string {
 		if l := n.keeper.Leader(); l != n.set.Node {
@@ -189,17 +193,28 @@
 	duties.Go(func() { n.hub.Run(ctx, cluster) })
 	duties.Go(func() { n.serveDebug(ctx) })
 	duties.Go(func() { n.keepCatalog(ctx) })
+	duties.Go(func() { n.mirror.Run(ctx) })
 	duties.Go(func() {
 		n.keeper.Run(ctx, func(ctx context.Context, t term.Term) {
-			all := n.set.Deployment.State.WriteRPS
-			n.store.SetWrites(leaderWrites * all)
-			defer n.store.SetWrites(followerWrites * all)
+			n.store.SetBudget(n.budget(true))
+			defer n.store.SetBudget(n.budget(false))
 			n.gate.Lead(ctx, deps, t)
 		})
 	})
 	duties.Wait()
 }
 
+// budget is what this node may ask of the state service.
+func (n *Node) budget(leading bool) state.Budget {
+	all := n.set.Deployment.State
+	b := state.Budget{Requests: leaderRequests * all.RPS, Writes: leaderWrites * all.WriteRPS}
+	if others := float64(n.set.Deployment.Nodes - 1); !leading && others > 0 {
+		b.Requests = (1 - leaderRequests) * all.RPS / others
+		b.Writes = (1 - leaderWrites) * all.WriteRPS / others
+	}
+	return b
+}
+
 func (n *Node) publish(counts map[string]jobs.Counts) {
 	n.hub.Publish(peer.Progress{Counts: counts, Served: !n.store.Failing()})
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -34,11 +34,8 @@
 		}
 		// A fleet without work is given back.
 		c.within(90*time.Second, "machines returned", func() bool { return len(c.world.Machines()) == 0 })
-		if keys := c.world.State.Keys("machine/"); len(keys) > 0 {
-			t.Errorf("records left: %v", keys)
-		}
-		if keys := c.world.State.Keys("done/"); len(keys) > 0 {
-			t.Errorf("completions of ended jobs left: %v", keys)
+		if live := c.inBook(); len(live) > 0 {
+			t.Errorf("still in the book: %v", live)
 		}
 	})
 }
@@ -164,8 +161,8 @@
 		c.crash(old)
 		c.withinDone(60*time.Second, "j-2")
 		c.within(90*time.Second, "machines returned", func() bool { return len(c.world.Machines()) == 0 })
-		if keys := c.world.State.Keys("machine/"); len(keys) > 0 {
-			t.Errorf("the old leader's assignments were recorded late: %v", keys)
+		if live := c.inBook(); len(live) > 0 {
+			t.Errorf("the old leader's assignments were recorded late: %v", live)
 		}
 	})
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"slices"
 
 	"ospreyslip/internal/jobs"
@@ -29,42 +30,31 @@
 	return b.CPUs <= a.CPUs+slack && b.GPUs <= a.GPUs+slack && b.RAMGB <= a.RAMGB+slack
 }
 
-// Machine is a machine that takes work.
-type Machine struct {
-	ID, Type, Zone string
-	Spot           bool
-	Slow           bool // not for batch tasks
-	Total, Free    Amount
-	Freeing        Amount // of tasks told to stop
-	Images         map[string]bool
-	Avoid          map[string]bool // jobs that should not come back
-	Tasks          []*Placed
-}
-
-// Placed is a task on a machine that could be stopped.
-type Placed struct {
-	Job  *Job
-	N    int
-	RanS float64 // what stopping it would lose
-}
-
-// Job is an unfinished job.
+// Job is an unfinished job with tasks to place.
 type Job struct {
 	Spec       *jobs.Spec
 	Order      uint64         // order of acceptance
 	DueS       float64        // seconds left to its deadline; without one, a large number
 	LeftS      float64        // what its unfinished tasks will take, in CPU seconds
-	Pending    []int          // tasks to place, in order
+	Waiting    int            // tasks to place
+	Overdue    int            // of these, how many go first because it got nothing for too long
 	Zones      map[string]int // tasks that are, or may be, in a zone
 	Guaranteed bool           // within its team's guarantee
 }
 
-// Input is the whole picture. Plan uses it up.
+// Input is the whole picture. Plan uses up all but the shelves.
 type Input struct {
-	Teams    []settings.Team
-	Used     map[string]Amount // by team: all tasks that are, or may be, on a machine
-	Machines []*Machine
-	Jobs     []*Job
+	Teams   []settings.Team
+	Used    map[string]Amount // by team: all tasks that are, or may be, on a machine
+	Shelves *Shelves
+	Jobs    []*Job
+	Least   int // the lowest rank of any task that is on a machine
+	// Fill sets a machine's tasks and what is being freed on it. It is asked for
+	// only where room has to be made; nil leaves them as they are.
+	Fill func(*Machine)
+
+	touched map[*Machine]Amount // what was free before the plan
+	filled  map[*Machine]bool
 }
 
 // Jobs without a deadline sort behind those with one, and jobs that have none
@@ -74,10 +64,9 @@
 	Late       = 2e9
 )
 
-// Assignment puts a task on a machine.
+// Assignment puts a job's next task on a machine.
 type Assignment struct {
 	Job     *Job
-	N       int
 	Machine *Machine
 }
 
@@ -121,32 +110,39 @@
 	return settings.Team{Name: name}
 }
 
-// before orders the queue: production first, then what a guarantee covers, then
-// by priority. Among equals it weighs what is due soon against what takes little:
-// by deadline alone, one large job in an overload makes many small ones late.
-func before(a, b *Job) int {
-	prod := func(j *Job) int {
-		if j.Spec.Priority == jobs.Prod {
-			return 0
-		}
-		return 1
-	}
-	covered := func(j *Job) int {
-		if j.Guaranteed {
-			return 0
-		}
-		return 1
-	}
+// before orders the queue: production first, then what has got nothing for too
+// long, then what a guarantee covers, then by priority. Among equals it weighs
+// what is due soon against what takes little: by deadline alone, one large job
+// in an overload makes many small ones late.
+func before(a, b turn) int {
 	return cmp.Or(
-		cmp.Compare(prod(a), prod(b)),
-		cmp.Compare(covered(a), covered(b)),
+		first(a.Spec.Priority == jobs.Prod, b.Spec.Priority == jobs.Prod),
+		first(a.overdue, b.overdue),
+		first(a.Guaranteed, b.Guaranteed),
 		cmp.Compare(b.Spec.Rank(), a.Spec.Rank()),
-		cmp.Compare(stage(a), stage(b)),
+		cmp.Compare(stage(a.Job), stage(b.Job)),
 		cmp.Compare(a.DueS*a.LeftS, b.DueS*b.LeftS),
 		cmp.Compare(a.Order, b.Order),
 	)
 }
 
+func first(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	}
+	return 1
+}
+
+// turn is a job's place in the queue. One that is overdue has two: one ahead for
+// a few of its tasks, and its own for the rest.
+type turn struct {
+	*Job
+	overdue bool
+}
+
 // stage tells jobs with a deadline to meet from those without, and from those
 // that can meet none.
 func stage(j *Job) int {
@@ -159,37 +155,87 @@
 	return 2
 }
 
-// Plan places what it can.
+// Plan places what it can. It leaves the shelves as it found them.
 func Plan(in Input) Output {
 	var out Output
-	slices.SortStableFunc(in.Jobs, before)
+	in.touched, in.filled = map[*Machine]Amount{}, map[*Machine]bool{}
+	queue := make([]turn, 0, len(in.Jobs))
 	for _, j := range in.Jobs {
-		placed := 0
-		for placed < len(j.Pending) {
-			if !in.withinLimit(j) {
-				placed = len(j.Pending) // no machine would help
-				break
-			}
-			m := in.choose(j)
-			if m == nil {
-				break
-			}
-			in.put(j, m)
-			out.Assign = append(out.Assign, Assignment{j, j.Pending[placed], m})
-			placed++
-		}
-		left := in.roomInLimit(j, len(j.Pending)-placed)
-		if left > 0 {
-			made := in.makeRoom(j, left, &out)
-			if left > made {
-				out.Unmet = append(out.Unmet, Demand{j, left - made})
-			}
+		queue = append(queue, turn{j, false})
+		if j.Overdue > 0 {
+			queue = append(queue, turn{j, true})
 		}
 	}
+	slices.SortStableFunc(queue, before)
+	for _, t := range queue {
+		in.take(t, &out)
+	}
+	for m, free := range in.touched {
+		in.Shelves.Set(m, free)
+	}
 	return out
 }
 
-func (in *Input) withinLimit(j *Job) bool { return in.roomInLimit(j, 1) == 1 }
+// take gives a job its turn.
+func (in *Input) take(t turn, out *Output) {
+	j, want := t.Job, t.Waiting
+	if t.overdue {
+		want = min(want, j.Overdue)
+	}
+	for want > 0 {
+		if in.roomInLimit(j, 1) == 0 {
+			break // no machine would help
+		}
+		m := in.choose(j)
+		if m == nil {
+			break
+		}
+		in.put(j, m)
+		out.Assign = append(out.Assign, Assignment{j, m})
+		want--
+		j.Waiting--
+	}
+	left := in.roomInLimit(j, want)
+	if left <= 0 {
+		return
+	}
+	made := in.makeRoom(j, left, out)
+	left -= made
+	j.Waiting -= made
+	if t.overdue {
+		// What is too large for the room that others leave now and then would
+		// wait for ever: a machine is kept from them until it has that room.
+		left -= in.setAside(j, left)
+		return
+	}
+	if left > 0 {
+		out.Unmet = append(out.Unmet, Demand{j, left})
+	}
+}
+
+// setAside keeps others off the machines with most room.
+func (in *Input) setAside(j *Job, n int) (kept int) {
+	for kept < n {
+		m := in.Shelves.roomiest(func(m *Machine) bool {
+			_, taken := in.touched[m]
+			return !taken && m.Total.Fits(Of(j.Spec)) && m.open(j)
+		})
+		if m == nil {
+			return kept
+		}
+		in.setFree(m, Amount{})
+		kept++
+	}
+	return kept
+}
+
+// setFree changes what is free on a machine for the time of this plan.
+func (in *Input) setFree(m *Machine, free Amount) {
+	if _, ok := in.touched[m]; !ok {
+		in.touched[m] = m.Free
+	}
+	in.Shelves.Set(m, free)
+}
 
 // roomInLimit is how many more of n tasks the team's limit allows.
 func (in *Input) roomInLimit(j *Job, n int) int {
@@ -218,34 +264,41 @@
 	return zones[zone] < s.ZoneLimit()
 }
 
-// open tells whether a machine is one for the job, room aside.
+// open tells whether a machine of an allowed kind is one for the job, room aside.
 func (m *Machine) open(j *Job) bool {
-	return j.Spec.Allows(m.Type, m.Zone, m.Spot) && !m.Avoid[j.Spec.ID] && ZoneOpen(j.Spec, j.Zones, m.Zone) &&
-		(!m.Slow || j.Spec.Shape == jobs.Service)
+	return !m.Avoid[j.Spec.ID] && (!m.Slow || j.Spec.Shape == jobs.Service)
 }
 
 // choose returns the fullest machine that fits. A service starts sooner where
 // its image is, so that goes first for it and breaks ties for others.
 func (in *Input) choose(j *Job) *Machine {
 	need := Of(j.Spec)
+	service := j.Spec.Shape == jobs.Service
 	var best *Machine
 	var bestKey [3]float64
-	for _, m := range in.Machines {
-		if !m.open(j) || !m.Free.Fits(need) {
+	for _, s := range in.Shelves.kinds {
+		if !j.Spec.Allows(s.typ, s.zone, s.spot) || !ZoneOpen(j.Spec, j.Zones, s.zone) {
 			continue
 		}
-		image := 1.0
-		if m.Images[j.Spec.Image] {
-			image = 0
-		}
-		left := leftover(m, need)
-		key := [3]float64{0, left, image}
-		if j.Spec.Shape == jobs.Service {
-			key = [3]float64{image, left, 0}
-		}
-		if best == nil || slices.Compare(key[:], bestKey[:]) < 0 {
-			best, bestKey = m, key
-		}
+		s.from(need, func(m *Machine) bool {
+			if !m.open(j) || !m.Free.Fits(need) {
+				return true
+			}
+			image := 1.0
+			if m.Images[j.Spec.Image] {
+				image = 0
+			}
+			left := leftover(m, need)
+			key := [3]float64{0, left, image}
+			if service {
+				key = [3]float64{image, left, 0}
+			}
+			if best == nil || slices.Compare(key[:], bestKey[:]) < 0 {
+				best, bestKey = m, key
+			}
+			// The next ones on this shelf are emptier.
+			return service && image == 1 || !service && image == 1 && left == bestKey[1]
+		})
 	}
 	return best
 }
@@ -267,10 +320,14 @@
 }
 
 func (in *Input) put(j *Job, m *Machine) {
-	need := Of(j.Spec)
-	m.Free = m.Free.Plus(need, -1)
+	in.setFree(m, m.Free.Plus(Of(j.Spec), -1))
+	in.counted(j, m)
+}
+
+// counted notes a task of a job on a machine.
+func (in *Input) counted(j *Job, m *Machine) {
 	j.Zones[m.Zone]++
-	in.Used[j.Spec.Team] = in.Used[j.Spec.Team].Plus(need, 1)
+	in.Used[j.Spec.Team] = in.Used[j.Spec.Team].Plus(Of(j.Spec), 1)
 }
 
 // mayStop tells whether work of v may be stopped to make room for j.
@@ -296,58 +353,109 @@
 // makeRoom stops tasks for up to n tasks of a job. Room that is being made is
 // set aside, so that the next plan does not stop more for the same need.
 func (in *Input) makeRoom(j *Job, n int, out *Output) (made int) {
+	if !in.mayMakeRoom(j) {
+		return 0
+	}
 	need := Of(j.Spec)
-	for made < n {
-		var best *Machine
-		var bestStops []*Placed
-		cost := 0.0
-		for _, m := range in.Machines {
-			if !m.open(j) {
-				continue
+	var ways sacrifices
+	for _, s := range in.Shelves.kinds {
+		if !j.Spec.Allows(s.typ, s.zone, s.spot) {
+			continue
+		}
+		s.all(func(m *Machine) {
+			if in.Fill != nil && !in.filled[m] {
+				in.filled[m] = true
+				in.Fill(m)
 			}
-			stops, c, ok := in.victims(j, m, need)
-			if ok && (best == nil || c < cost) {
-				best, bestStops, cost = m, stops, c
+			if w, ok := in.victims(j, m, need); ok {
+				ways = append(ways, w)
 			}
+		})
+	}
+	heap.Init(&ways)
+	for made < n && len(ways) > 0 {
+		w := ways[0]
+		if !w.on.open(j) || !ZoneOpen(j.Spec, j.Zones, w.on.Zone) {
+			heap.Pop(&ways)
+			continue
 		}
-		if best == nil {
-			return made
-		}
-		for _, v := range bestStops {
-			out.Stop = append(out.Stop, Stop{best, v})
-			best.Tasks = slices.DeleteFunc(best.Tasks, func(p *Placed) bool { return p == v })
-			best.Freeing = best.Freeing.Plus(Of(v.Job.Spec), 1)
+		m := w.on
+		for _, v := range w.stop {
+			out.Stop = append(out.Stop, Stop{m, v})
+			m.Tasks = slices.DeleteFunc(m.Tasks, func(p *Placed) bool { return p == v })
+			m.Freeing = m.Freeing.Plus(Of(v.Job.Spec), 1)
 		}
 		// Taken out of what is free now and, for the rest, of what will be.
-		best.Freeing = best.Free.Plus(best.Freeing, 1).Plus(need, -1)
-		best.Free = Amount{}
-		j.Zones[best.Zone]++
-		in.Used[j.Spec.Team] = in.Used[j.Spec.Team].Plus(need, 1)
+		m.Freeing = m.Free.Plus(m.Freeing, 1).Plus(need, -1)
+		in.setFree(m, Amount{})
+		in.counted(j, m)
 		made++
+		if next, ok := in.victims(j, m, need); ok {
+			ways[0] = next
+			heap.Fix(&ways, 0)
+		} else {
+			heap.Pop(&ways)
+		}
 	}
 	return made
 }
 
+// mayMakeRoom tells whether a search for victims can find any: it goes through
+// all machines, and mostly there is nothing of lower priority.
+func (in *Input) mayMakeRoom(j *Job) bool {
+	return in.Least < j.Spec.Rank() || j.Guaranteed && slices.ContainsFunc(in.Teams, func(t settings.Team) bool {
+		return t.Name != j.Spec.Team && in.beyond(t.Name)
+	})
+}
+
+// sacrifice is what a machine would lose to take one more task.
+type sacrifice struct {
+	on   *Machine
+	stop []*Placed
+	cost float64
+}
+
+// sacrifices is a heap, the least first.
+type sacrifices []sacrifice
+
+func (s sacrifices) Len() int { return len(s) }
+func (s sacrifices) Less(a, b int) bool {
+	return cmp.Or(cmp.Compare(s[a].cost, s[b].cost), cmp.Compare(s[a].on.ID, s[b].on.ID)) < 0
+}
+func (s sacrifices) Swap(a, b int) { s[a], s[b] = s[b], s[a] }
+func (s *sacrifices) Push(x any)   { *s = append(*s, x.(sacrifice)) }
+func (s *sacrifices) Pop() any {
+	last := (*s)[len(*s)-1]
+	*s = (*s)[:len(*s)-1]
+	return last
+}
+
 // victims returns the cheapest tasks to stop on a machine.
-func (in *Input) victims(j *Job, m *Machine, need Amount) (stops []*Placed, cost float64, ok bool) {
+func (in *Input) victims(j *Job, m *Machine, need Amount) (w sacrifice, ok bool) {
+	if !m.open(j) {
+		return w, false
+	}
+	w.on = m
 	room := m.Free.Plus(m.Freeing, 1)
 	if room.Fits(need) {
-		return nil, 0, true
+		return w, true
+	}
+	var order []*Placed
+	for _, v := range m.Tasks {
+		if mayStop(in, j, v.Job) {
+			order = append(order, v)
+		}
 	}
-	order := slices.Clone(m.Tasks)
 	slices.SortStableFunc(order, func(a, b *Placed) int {
 		return cmp.Or(cmp.Compare(a.Job.Spec.Rank(), b.Job.Spec.Rank()), cmp.Compare(a.RanS, b.RanS))
 	})
 	for _, v := range order {
-		if !mayStop(in, j, v.Job) {
-			continue
-		}
 		room = room.Plus(Of(v.Job.Spec), 1)
-		stops = append(stops, v)
-		cost += 1 + v.RanS*Of(v.Job.Spec).CPUs
+		w.stop = append(w.stop, v)
+		w.cost += 1 + v.RanS*Of(v.Job.Spec).CPUs
 		if room.Fits(need) {
-			return stops, cost, true
+			return w, true
 		}
 	}
-	return nil, 0, false
+	return w, false
 }
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"strings"
 	"testing"
 
@@ -27,18 +26,20 @@
 	if change != nil {
 		change(s)
 	}
-	j := &Job{Spec: s, DueS: 1e9, Zones: map[string]int{}}
-	for n := range tasks {
-		j.Pending = append(j.Pending, n)
-	}
-	return j
+	return &Job{Spec: s, DueS: 1e9, Zones: map[string]int{}, Waiting: tasks}
 }
 
 func running(m *Machine, j *Job, n int, ran float64) {
 	m.Tasks = append(m.Tasks, &Placed{Job: j, N: n, RanS: ran})
 	m.Free = m.Free.Plus(Of(j.Spec), -1)
 	j.Zones[m.Zone]++
-	j.Pending = slices.DeleteFunc(j.Pending, func(p int) bool { return p == n })
+	j.Waiting--
+}
+
+// picture is an input whose machines are not on their shelves yet.
+type picture struct {
+	Input
+	Machines []*Machine
 }
 
 func TestPlan(t *testing.T) {
@@ -46,47 +47,47 @@
 	prod := func(s *jobs.Spec) { s.Priority, s.Shape, s.Spot = jobs.Prod, jobs.Service, false }
 	for _, tc := range []struct {
 		name  string
-		setup func(in *Input)
+		setup func(in *picture)
 		want  string
 	}{
-		{"the fullest machine that fits", func(in *Input) {
+		{"the fullest machine that fits", func(in *picture) {
 			in.Machines = []*Machine{box("a1", 4), box("a2", 2), box("a3", 1)}
 			in.Jobs = []*Job{job("j-1", 1, 2, nil)}
 		}, "j-1/0>a2"},
-		{"a service goes where its image is", func(in *Input) {
+		{"a service goes where its image is", func(in *picture) {
 			m := box("a1", 4)
 			m.Images["img"] = true
 			in.Machines = []*Machine{m, box("a2", 2)}
 			in.Jobs = []*Job{job("j-1", 1, 2, prod)}
 		}, "j-1/0>a1"},
-		{"spread: half in one zone, rounded up", func(in *Input) {
+		{"spread: half in one zone, rounded up", func(in *picture) {
 			in.Machines = []*Machine{box("a1", 4), box("b1", 4)}
 			in.Jobs = []*Job{job("j-1", 5, 1, func(s *jobs.Spec) { s.Spread = true })}
 		}, "j-1/0>a1 j-1/1>a1 j-1/2>a1 j-1/3>b1 j-1/4>b1"},
-		{"spread: what may still be in a zone counts", func(in *Input) {
+		{"spread: what may still be in a zone counts", func(in *picture) {
 			in.Machines = []*Machine{box("a1", 4)}
 			j := job("j-1", 2, 1, func(s *jobs.Spec) { s.Spread = true })
 			j.Zones["a"] = 1
-			j.Pending = []int{1}
+			j.Waiting = 1
 			in.Jobs = []*Job{j}
 		}, "unmet j-1 1"},
-		{"one zone for all tasks", func(in *Input) {
+		{"one zone for all tasks", func(in *picture) {
 			in.Machines = []*Machine{box("a1", 2), box("b1", 4)}
 			in.Jobs = []*Job{job("j-1", 4, 1, func(s *jobs.Spec) { s.OneZone = true })}
 		}, "j-1/0>a1 j-1/1>a1 unmet j-1 2"},
-		{"types, zone and spot as allowed", func(in *Input) {
+		{"types, zone and spot as allowed", func(in *picture) {
 			in.Machines = []*Machine{box("sa1", 4), box("b1", 4), box("a1", 4)}
 			in.Jobs = []*Job{
 				job("j-1", 1, 1, func(s *jobs.Spec) { s.Spot, s.Zone = false, "a" }),
 				job("j-2", 1, 1, func(s *jobs.Spec) { s.Types = []string{"g8"} }),
 			}
 		}, "j-1/0>a1 unmet j-2 1"},
-		{"the team's limit stops placing and asking", func(in *Input) {
+		{"the team's limit stops placing and asking", func(in *picture) {
 			in.Machines = []*Machine{box("a1", 4), box("a2", 4), box("a3", 4)}
 			in.Used["red"] = Amount{CPUs: 6}
 			in.Jobs = []*Job{job("j-1", 5, 1, nil)}
 		}, "j-1/0>a1 j-1/1>a1"},
-		{"production before age, the guarantee before priority", func(in *Input) {
+		{"production before age, the guarantee before priority", func(in *picture) {
 			in.Machines = []*Machine{box("a1", 1), box("a2", 1)}
 			old := job("j-1", 1, 1, func(s *jobs.Spec) { s.Priority = jobs.Urgent })
 			covered := job("j-2", 1, 1, nil)
@@ -95,7 +96,7 @@
 			live.Order = 9
 			in.Jobs = []*Job{old, covered, live}
 		}, "j-3/0>a1 j-2/0>a2 unmet j-1 1"},
-		{"in an overload the small job first, and the lost cause last", func(in *Input) {
+		{"in an overload the small job first, and the lost cause last", func(in *picture) {
 			in.Machines = []*Machine{box("a1", 1), box("a2", 1)}
 			lost, large, small := job("j-1", 1, 1, nil), job("j-2", 1, 1, nil), job("j-3", 1, 1, nil)
 			lost.DueS, lost.LeftS = Late, 1
@@ -103,7 +104,7 @@
 			small.DueS, small.LeftS = 60, 30
 			in.Jobs = []*Job{lost, large, small}
 		}, "j-3/0>a1 j-2/0>a2 unmet j-1 1"},
-		{"higher priority stops lower, that which has run least", func(in *Input) {
+		{"higher priority stops lower, that which has run least", func(in *picture) {
 			m := box("a1", 4)
 			low := job("j-1", 4, 1, nil)
 			for n := range 4 {
@@ -112,13 +113,13 @@
 			in.Machines = []*Machine{m}
 			in.Jobs = []*Job{job("j-2", 1, 2, prod)}
 		}, "stop j-1/0@a1 stop j-1/1@a1"},
-		{"equal priority of the same team is left alone", func(in *Input) {
+		{"equal priority of the same team is left alone", func(in *picture) {
 			m := box("a1", 4)
 			running(m, job("j-1", 1, 4, nil), 0, 1)
 			in.Machines = []*Machine{m}
 			in.Jobs = []*Job{job("j-2", 1, 2, nil)}
 		}, "unmet j-2 1"},
-		{"a guarantee takes back what another team has borrowed", func(in *Input) {
+		{"a guarantee takes back what another team has borrowed", func(in *picture) {
 			m := box("a1", 4)
 			running(m, job("j-1", 1, 4, func(s *jobs.Spec) { s.Team, s.Priority = "blue", jobs.Urgent }), 0, 1)
 			in.Used["blue"] = Amount{CPUs: 8}
@@ -126,7 +127,7 @@
 			j.Guaranteed = true
 			in.Machines, in.Jobs = []*Machine{m}, []*Job{j}
 		}, "stop j-1/0@a1"},
-		{"but no production service", func(in *Input) {
+		{"but no production service", func(in *picture) {
 			m := box("a1", 4)
 			running(m, job("j-1", 1, 4, func(s *jobs.Spec) { s.Team, s.Priority, s.Shape = "blue", jobs.Prod, jobs.Service }), 0, 1)
 			in.Used["blue"] = Amount{CPUs: 8}
@@ -134,7 +135,7 @@
 			j.Guaranteed = true
 			in.Machines, in.Jobs = []*Machine{m}, []*Job{j}
 		}, "unmet j-2 1"},
-		{"but not what is the other's own", func(in *Input) {
+		{"but not what is the other's own", func(in *picture) {
 			m := box("a1", 4)
 			running(m, job("j-1", 1, 4, func(s *jobs.Spec) { s.Team = "blue" }), 0, 1)
 			in.Used["blue"] = Amount{CPUs: 4}
@@ -142,35 +143,60 @@
 			j.Guaranteed = true
 			in.Machines, in.Jobs = []*Machine{m}, []*Job{j}
 		}, "unmet j-2 1"},
-		{"room that is being made is waited for, and kept from others", func(in *Input) {
+		{"room that is being made is waited for, and kept from others", func(in *picture) {
 			m := box("a1", 1)
 			m.Freeing = Amount{CPUs: 3, RAMGB: 3}
 			in.Machines = []*Machine{m}
 			in.Jobs = []*Job{job("j-2", 1, 4, prod), job("j-3", 1, 1, nil)}
 		}, "unmet j-3 1"},
-		{"a slow machine is for services only", func(in *Input) {
+		{"a slow machine is for services only", func(in *picture) {
 			m := box("a1", 4)
 			m.Slow = true
 			in.Machines = []*Machine{m}
 			in.Jobs = []*Job{job("j-1", 1, 1, nil), job("j-2", 1, 1, prod)}
 		}, "j-2/0>a1 unmet j-1 1"},
-		{"a machine that a job should avoid", func(in *Input) {
+		{"a machine that a job should avoid", func(in *picture) {
 			m := box("a1", 4)
 			m.Avoid["j-1"] = true
 			in.Machines = []*Machine{m}
 			in.Jobs = []*Job{job("j-1", 1, 1, nil)}
 		}, "unmet j-1 1"},
+		{"what got nothing for too long goes before what a guarantee covers, for a few tasks", func(in *picture) {
+			in.Machines = []*Machine{box("a1", 1), box("a2", 1), box("a3", 1)}
+			poor := job("j-1", 4, 1, func(s *jobs.Spec) { s.Priority = jobs.BestEffort })
+			poor.Overdue, poor.Order = 1, 9
+			covered := job("j-2", 3, 1, nil)
+			covered.Guaranteed = true
+			in.Jobs = []*Job{covered, poor}
+		}, "j-1/0>a1 j-2/0>a2 j-2/1>a3 unmet j-2 1 unmet j-1 3"},
+		{"but production goes before it", func(in *picture) {
+			in.Machines = []*Machine{box("a1", 1)}
+			poor := job("j-1", 1, 1, nil)
+			poor.Overdue = 1
+			in.Jobs = []*Job{poor, job("j-2", 1, 1, prod)}
+		}, "j-2/0>a1 unmet j-1 1"},
+		{"a large task that waited too long gets a machine kept for it", func(in *picture) {
+			in.Machines = []*Machine{box("a1", 1), box("a2", 2)}
+			large := job("j-1", 1, 4, nil)
+			large.Overdue = 1
+			in.Jobs = []*Job{job("j-2", 4, 1, nil), large}
+		}, "j-2/0>a1 unmet j-2 3 unmet j-1 1"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			in := Input{Teams: teams, Used: map[string]Amount{}}
+			in := picture{Input: Input{Teams: teams, Used: map[string]Amount{}, Shelves: &Shelves{}, Least: 1}}
 			tc.setup(&in)
-			out := Plan(in)
+			for _, m := range in.Machines {
+				in.Shelves.Put(m)
+			}
+			out := Plan(in.Input)
+			next := map[*Job]int{}
 			var got []string
 			for _, s := range out.Stop {
 				got = append(got, fmt.Sprintf("stop %s/%d@%s", s.Task.Job.Spec.ID, s.Task.N, s.Machine.ID))
 			}
 			for _, a := range out.Assign {
-				got = append(got, fmt.Sprintf("%s/%d>%s", a.Job.Spec.ID, a.N, a.Machine.ID))
+				got = append(got, fmt.Sprintf("%s/%d>%s", a.Job.Spec.ID, next[a.Job], a.Machine.ID))
+				next[a.Job]++
 			}
 			for _, d := range out.Unmet {
 				got = append(got, fmt.Sprintf("unmet %s %d", d.Job.Spec.ID, d.Count))
@@ -182,6 +208,38 @@
 	}
 }
 
+// A plan is a proposal: it leaves the shelves as they were.
+func TestPlanLeavesTheShelves(t *testing.T) {
+	m := box("a1", 4)
+	shelves := &Shelves{}
+	shelves.Put(m)
+	Plan(Input{Used: map[string]Amount{}, Shelves: shelves, Jobs: []*Job{job("j-1", 3, 1, nil)}})
+	if m.Free.CPUs != 4 {
+		t.Errorf("%v CPUs are free after a plan, not 4", m.Free.CPUs)
+	}
+}
+
+// What a task costs to place must not grow with the fleet: most machines are
+// full, and they must not be looked at. Counted, not timed.
+func TestChoosingLooksAtFewMachines(t *testing.T) {
+	looked := func(machines int) (n int) {
+		shelves := &Shelves{}
+		for i := range machines {
+			m := box(fmt.Sprintf("a%d", i), 0.5)
+			m.Avoid = nil
+			shelves.Put(m)
+		}
+		shelves.Put(box("b1", 4))
+		for _, k := range shelves.kinds {
+			k.from(Amount{CPUs: 1}, func(*Machine) bool { n++; return true })
+		}
+		return n
+	}
+	if few, many := looked(25), looked(2500); few != many {
+		t.Errorf("%d machines looked at in a fleet of 25, %d in one of 2500", few, many)
+	}
+}
+
 // A job is within the guarantee together with the team's earlier jobs.
 func TestGuarantees(t *testing.T) {
 	teams := []settings.Team{{Name: "red", CPUs: 4}, {Name: "blue"}}
--- /dev/null
+++ b/internal/placement/shelves.go
@@ -0,0 +1,114 @@
+package placement
+
+import (
+	"cmp"
+
+	"github.com/google/btree"
+)
+
+// Machine is a machine that takes work.
+type Machine struct {
+	ID, Type, Zone string
+	Spot           bool
+	Slow           bool // not for batch tasks
+	Total, Free    Amount
+	Images         map[string]bool
+	Avoid          map[string]bool // jobs that should not come back
+
+	// Filled only where room has to be made.
+	Freeing Amount // of tasks told to stop
+	Tasks   []*Placed
+
+	on *shelf
+}
+
+// Placed is a task on a machine that could be stopped.
+type Placed struct {
+	Job  *Job
+	N    int
+	RanS float64 // what stopping it would lose
+}
+
+// Shelves hold the machines that take work, one shelf a kind, the fullest first:
+// the cost of finding a machine does not grow with the fleet.
+type Shelves struct{ kinds []*shelf }
+
+type shelf struct {
+	typ, zone string
+	spot      bool
+	machines  *btree.BTreeG[*Machine]
+}
+
+// degree of the trees: a node fills a few cache lines.
+const degree = 16
+
+func fuller(a, b *Machine) bool {
+	return cmp.Or(
+		cmp.Compare(a.Free.CPUs, b.Free.CPUs),
+		cmp.Compare(a.Free.RAMGB, b.Free.RAMGB),
+		cmp.Compare(a.Free.GPUs, b.Free.GPUs),
+		cmp.Compare(a.ID, b.ID),
+	) < 0
+}
+
+// Put adds a machine, or does nothing if it is there.
+func (s *Shelves) Put(m *Machine) {
+	if m.on != nil {
+		return
+	}
+	for _, k := range s.kinds {
+		if k.typ == m.Type && k.zone == m.Zone && k.spot == m.Spot {
+			m.on = k
+		}
+	}
+	if m.on == nil {
+		m.on = &shelf{m.Type, m.Zone, m.Spot, btree.NewG(degree, fuller)}
+		s.kinds = append(s.kinds, m.on)
+	}
+	m.on.machines.ReplaceOrInsert(m)
+}
+
+// Remove takes a machine off its shelf.
+func (s *Shelves) Remove(m *Machine) {
+	if m.on != nil {
+		m.on.machines.Delete(m)
+		m.on = nil
+	}
+}
+
+// Set changes what is free on a machine, whether or not it is on a shelf.
+func (s *Shelves) Set(m *Machine, free Amount) {
+	if m.on == nil {
+		m.Free = free
+		return
+	}
+	m.on.machines.Delete(m)
+	m.Free = free
+	m.on.machines.ReplaceOrInsert(m)
+}
+
+// from goes through the machines that may have room, the fullest first, while
+// next says so.
+func (s *shelf) from(need Amount, next func(*Machine) bool) {
+	s.machines.AscendGreaterOrEqual(&Machine{Free: Amount{CPUs: need.CPUs - slack}}, next)
+}
+
+func (s *shelf) all(each func(*Machine)) {
+	s.machines.Ascend(func(m *Machine) bool { each(m); return true })
+}
+
+// roomiest returns the machine with most room of those that will do.
+func (s *Shelves) roomiest(will func(*Machine) bool) (best *Machine) {
+	for _, k := range s.kinds {
+		k.machines.Descend(func(m *Machine) bool {
+			if !will(m) {
+				return true
+			}
+			if best == nil || best.Free.CPUs < m.Free.CPUs {
+				best = m
+			}
+			return false
+		})
+	}
+	return best
+}
--- a/internal/settings/derived.go
+++ b/internal/settings/derived.go
@@ -7,6 +7,9 @@
 	"time"
 )
 
+// workerWait is how long a worker waits for an answer, from the protocol.
+const workerWait = 4 * time.Second
+
 // clockDrift bounds how far two steady clocks drift apart (the protocol's 0.05%),
 // doubled because each of two clocks may be off.
 const clockDrift = 0.001
@@ -15,6 +18,7 @@
 // figure handed over, so that one program serves deployments of any pace.
 type Derived struct {
 	Report time.Duration // a worker's report period
+	Beat   time.Duration // the leader's own pace: the report period, or the term's lease if that is shorter
 	Lease  time.Duration // a worker's lease
 	Cancel time.Duration // time until a cancelled task must be gone
 
@@ -24,26 +28,41 @@
 	HoldGrace  time.Duration // how long one floor can hold all verdicts
 	VerdictGap time.Duration // least time between two verdicts in a zone
 
-	TermLease   time.Duration // the term's lease in the state service
-	TermRenew   time.Duration // how often it is renewed
-	TermSafe    time.Duration // how long after a renewal was sent the term holds
-	WatchStale  time.Duration // a picture of the jobs older than this serves no worker
-	WatchWait   time.Duration // how long one watch waits
-	StateWait   time.Duration // how long one request to the state service may take
-	UserWait    time.Duration // how long one user's request may take in all
-	DoubtFor    time.Duration // an order without an answer is cleared up after so long
-	CloudWait   time.Duration
-	ListEvery   time.Duration
-	ListLag     time.Duration
+	TermLease  time.Duration // the term's lease in the state service
+	TermRenew  time.Duration // how often it is renewed
+	TermSafe   time.Duration // how long after a renewal was sent the term holds
+	WatchStale time.Duration // a picture of the jobs older than this serves no worker
+	WatchWait  time.Duration // how long one watch waits
+	StateWait  time.Duration // how long one request to the state service may take
+	UserWait   time.Duration // how long one user's request may take in all
+	DoubtFor   time.Duration // an order without an answer is cleared up after so long
+	CloudWait  time.Duration
+	ListEvery  time.Duration
+	ListLag    time.Duration
+	FlushGap   time.Duration // least time between two transactions of the leader
+	PollGap    time.Duration // least time between two reads for users' polls
+	BeginBy    time.Duration // a job that got nothing for so long goes first
+
 	TxnOps      int
 	TxnGuards   int
 	ValueBytes  int
-	ChunkTasks  int // tasks per record of completions
+	ChunkTasks  int // tasks whose completions are kept together
 	MemoryBytes int64
-	UserConns   int
+	ServedConns int // of users and workers
+	WorkerConns int // kept open to workers while idle
+	OrdersOut   int // orders on their way at a time
 	UserQueue   int
 }
 
+// Shares of what the state service takes.
+const (
+	flushWrites = 4.0  // a transaction of the leader comes no sooner than so many writes are to be had
+	pollShare   = 0.25 // of all reads, for users' polls
+)
+
+// largestBegin is by when even the largest jobs must have begun, from the protocol.
+const largestBegin = 4 * time.Minute
+
 func times(d time.Duration, ratio float64) time.Duration {
 	return time.Duration(float64(d) * ratio)
 }
@@ -53,18 +72,21 @@
 	d := &s.Deployment
 	report, lease, cancel := seconds(d.Workers.ReportS), seconds(d.Workers.LeaseS), seconds(d.Workers.CancelS)
 	// The next leader has to be found by workers that may lose up to four
-	// seconds on a silent node, and all of that within their lease.
-	term := min(lease/4, report*3/2)
+	// seconds on a silent node, and all of that within their lease. Users notice
+	// the gap, too, however seldom the workers report.
+	term := min(lease/4, report*3/2, workerWait*5/8)
+	beat := min(report, term)
 	lag := seconds(d.Cloud.ListLagS)
 	value := int(d.State.ValueKB * 1024)
 	return Derived{
 		Report: report,
+		Beat:   beat,
 		Lease:  lease,
 		Cancel: cancel,
 
 		LeaseOver:  time.Duration(float64(lease)*(1+clockDrift)) + min(report/10, (cancel-lease)/8),
 		SilentFor:  times(report, s.Operator.SilentReports),
-		CallWait:   report / 2,
+		CallWait:   min(report, term) / 2,
 		HoldGrace:  times(report, s.Operator.HoldReports),
 		VerdictGap: seconds(s.Operator.VerdictGapS),
 
@@ -82,12 +104,20 @@
 		ListEvery:  lag / 2,
 		ListLag:    lag,
 
+		// Transactions in a row would spend the write rate on small ones.
+		FlushGap: seconds(flushWrites / d.State.WriteRPS),
+		// All nodes together spend a part of the reads on polls.
+		PollGap: seconds(float64(d.Nodes) / (pollShare * d.State.RPS)),
+		BeginBy: largestBegin / 2,
+
 		TxnOps:      d.State.TxnOps,
 		TxnGuards:   4 * d.State.TxnOps,
 		ValueBytes:  value,
-		ChunkTasks:  value, // an eighth of it in bits, a sixth as text
+		ChunkTasks:  max(64, value/4/64*64), // as text, a twenty-fourth of it
 		MemoryBytes: int64(d.Limits.MemoryMB * (1 << 20)),
-		UserConns:   d.Limits.MaxSockets / 2,
+		ServedConns: d.Limits.MaxSockets * 3 / 4,
+		WorkerConns: max(8, d.Limits.MaxSockets/8),
+		OrdersOut:   max(4, d.Limits.MaxSockets/32),
 		UserQueue:   max(8, d.Limits.MaxSockets/16),
 	}
 }
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -91,10 +91,12 @@
 	}
 }
 
-// SetWrites changes this node's part of the writes; the leader needs more.
-func (c *Client) SetWrites(perSecond float64) {
-	c.writes.SetLimit(rate.Limit(perSecond))
-	c.writes.SetBurst(max(1, int(perSecond)))
+// SetBudget changes this node's part; the leader needs more.
+func (c *Client) SetBudget(b Budget) {
+	c.reqs.SetLimit(rate.Limit(b.Requests))
+	c.reqs.SetBurst(max(1, int(b.Requests)))
+	c.writes.SetLimit(rate.Limit(b.Writes))
+	c.writes.SetBurst(max(1, int(b.Writes)))
 }
 
 func (c *Client) do(ctx context.Context, wait time.Duration, method, path string, in, out any) (int, error) {
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -60,6 +60,7 @@
 	until  atomic.Int64 // holds the term until base+until
 	proven atomic.Int64 // all others were without the state service at base+proven
 	holder atomic.Pointer[Holder]
+	heard  atomic.Int64 // of the term, from the state service, at base+heard
 	vow    vow
 	token  atomic.Uint64 // of the term that this node holds, as raised since
 
@@ -99,19 +100,26 @@
 // holder for one that has been succeeded.
 func (k *Keeper) Raised(token uint64) { k.token.Store(token) }
 
-// Leader names the node that held the term when last seen, or is empty.
+// Leader names the node that held the term when last seen, or is empty. What was
+// seen too long ago is not told: a node that is cut off would send workers to
+// one that leads no more.
 func (k *Keeper) Leader() string {
-	if h := k.holder.Load(); h != nil {
-		return h.Node
+	h := k.holder.Load()
+	if h == nil || time.Since(k.base)-time.Duration(k.heard.Load()) > k.timing.WatchWait+2*k.timing.Lease {
+		return ""
 	}
-	return ""
+	return h.Node
 }
 
+// listened notes that the state service has told of the term, as of a moment.
+func (k *Keeper) listened(at time.Time) { k.heard.Store(int64(at.Sub(k.base))) }
+
 // Run campaigns until the context ends. For each term it calls lead, whose
 // context ends with the term, and waits for its return before going on.
 func (k *Keeper) Run(ctx context.Context, lead func(context.Context, Term)) {
 	var standDown time.Time
 	for ctx.Err() == nil {
+		asked := time.Now()
 		holder, mark, tokenMark, token, rev, err := k.read(ctx)
 		if err != nil {
 			slog.Debug("term not read", "reason", err)
@@ -119,6 +127,7 @@
 			continue
 		}
 		k.holder.Store(holder)
+		k.listened(asked)
 		k.vow.know(token)
 		// Our own key from an earlier life is free to take: its holder is gone.
 		own := holder != nil && holder.Node == k.node
@@ -172,6 +181,7 @@
 		k.pause(ctx)
 		return
 	}
+	k.listened(time.Now())
 	for _, c := range changes {
 		if c.Remove == HolderKey {
 			k.holder.Store(nil)
@@ -221,6 +231,7 @@
 		return "taken too slowly"
 	}
 	self := &Holder{Node: k.node, Life: k.life, Token: t.Token}
+	k.listened(time.Now())
 	k.holder.Store(self)
 	k.token.Store(t.Token)
 	slog.Info("term taken", "term", t.Token)
@@ -323,7 +334,13 @@
 	if _, _, err := k.store.Get(ctx, HolderKey); err == nil || errors.Is(err, state.ErrBusy) {
 		return false // a service that is only busy still takes cancellations
 	}
-	return k.vow.promise(time.Now(), k.timing.Lease, token)
+	if !k.vow.promise(time.Now(), k.timing.Lease, token) {
+		return false
+	}
+	if h := k.holder.Load(); h != nil && h.Token <= token {
+		k.listened(time.Now()) // the holder itself has told of the term
+	}
+	return true
 }
 
 func (k *Keeper) extend(sent time.Time) {
