--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -182,6 +182,7 @@
 		}
 	}
 	late := fleet.Late(l.rooms(now), queue)
+	short := l.shortfall(now)
 	var needs []fleet.Need
 	for _, d := range l.unmet {
 		n := d.Count
@@ -191,6 +192,11 @@
 			if waves := (l.timeLeft(d.Job) - l.shortestBoot().Seconds()) / l.runS(s); waves > 1 && n > 0 {
 				n = int(math.Ceil(float64(n) / math.Floor(waves)))
 			}
+			// The forecast knows of no work that is still to come.
+			if each := d.Job.Spec.CPUs; each > 0 && short > 0 {
+				n = max(n, min(d.Count, int(math.Ceil(short/each))))
+				short -= float64(n) * each
+			}
 		}
 		if n > 0 {
 			needs = append(needs, fleet.Need{Spec: d.Job.Spec, Zones: d.Job.Zones, Count: n})
@@ -199,6 +205,49 @@
 	return needs
 }
 
+// flowOver is the time over which the flow of work is averaged: until a job that
+// got nothing goes first.
+func (l *Leader) flowOver() time.Duration { return l.Derived.BeginBy }
+
+// arrived takes in the work of a new job, in CPU seconds a second. An old one,
+// that a new leader finds, counts the less.
+func (l *Leader) arrived(j *job, age time.Duration, now time.Time) {
+	if j.spec.Shape != jobs.Batch {
+		return
+	}
+	l.decayFlow(now)
+	work := float64(j.spec.Tasks) * l.runS(j.spec) * j.spec.CPUs
+	l.flow += work / l.flowOver().Seconds() * math.Exp(-max(0, age.Seconds())/l.flowOver().Seconds())
+}
+
+func (l *Leader) decayFlow(now time.Time) {
+	l.flow *= math.Exp(-now.Sub(l.flowAt).Seconds() / l.flowOver().Seconds())
+	l.flowAt = now
+}
+
+// shortfall is how many CPUs are missing for the flow of batch work that there
+// has been lately, next to the services.
+func (l *Leader) shortfall(now time.Time) float64 {
+	l.decayFlow(now)
+	missing := l.flow
+	for _, m := range l.machines {
+		if t := l.machineType(m.typ); t != nil && m.phase != returning && !m.dead && !m.draining {
+			missing -= t.CPUs
+			for _, a := range m.assigned {
+				if a.job.spec.Shape != jobs.Batch {
+					missing += a.job.spec.CPUs
+				}
+			}
+		}
+	}
+	for k, n := range l.renting {
+		if t := l.machineType(k.Type); t != nil {
+			missing -= t.CPUs * float64(n)
+		}
+	}
+	return missing
+}
+
 // rooms is what the forecast plays on.
 func (l *Leader) rooms(now time.Time) []fleet.Room {
 	var rooms []fleet.Room
@@ -276,7 +325,7 @@
 		l.renting[r.Kind] -= r.Count
 		if err != nil || len(ids) < r.Count {
 			ref := l.refused[r.Kind]
-			ref.wait = min(max(2*ref.wait, 2*l.Derived.Report), 4*l.Derived.ListLag)
+			ref.wait = min(max(2*ref.wait, 2*l.Derived.Beat), 8*l.Derived.ListLag)
 			ref.until = now.Add(ref.wait)
 			l.refused[r.Kind] = ref
 		} else {
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -171,6 +171,8 @@
 	renting    map[fleet.Kind]int
 	refused    map[fleet.Kind]refusal
 	listSyncAt time.Time
+	flow       float64 // batch work that arrives, in CPUs
+	flowAt     time.Time
 	bias       map[string]float64   // by class, how far estimates are off, as a logarithm
 	gone       map[string]time.Time // given back, though perhaps still listed
 }
@@ -307,6 +309,7 @@
 		}
 		l.show(j)
 		l.queue(j)
+		l.arrived(j, time.Duration(now.UnixMilli()-j.atMs)*time.Millisecond, now)
 	}
 	l.replan, l.recover = true, true
 	l.listSyncAt = now.Add(2 * l.Derived.ListLag)
@@ -462,6 +465,7 @@
 		l.jobs[id] = j
 		l.show(j)
 		l.queue(j)
+		l.arrived(j, 0, now)
 		l.replan, l.recover = true, true
 	case j != nil && rec.Stance == jobs.Cancelled && !j.cancelled:
 		slog.Info("job cancelled", "job", id, "term", l.token)
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -13,7 +13,8 @@
 )
 
 // dueS is how many seconds a job has left for the next aim that it can still
-// meet, given how long its tasks run.
+// meet, given how long its tasks run. One that has not begun is due by its aim
+// to begin, too.
 func (l *Leader) dueS(j *job, wall int64) float64 {
 	if j.spec.Shape != jobs.Batch {
 		return placement.NoDeadline
@@ -27,13 +28,16 @@
 	}
 	due, aims := float64(placement.Late), false
 	for _, o := range l.Settings.Deployment.Objectives {
-		if o.Kind != "finished" || o.Class != j.spec.Class {
+		if o.Class != j.spec.Class {
 			continue
 		}
-		aims = true
-		if left := o.WithinS - age; left >= runs {
+		switch left := o.WithinS - age; {
+		case o.Kind == "finished" && left >= runs:
 			due = min(due, left)
+		case o.Kind == "wait" && left >= 0 && j.waiting == j.spec.Tasks:
+			due = min(due, left+runs)
 		}
+		aims = aims || o.Kind == "finished"
 	}
 	if !aims {
 		return placement.NoDeadline
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -98,6 +98,7 @@
 		t     jobs.MachineType
 		k     Kind
 		price float64
+		begun bool
 		have  int
 	}
 	var best *option
@@ -115,8 +116,10 @@
 				if spot {
 					price = t.SpotPrice
 				}
-				o := option{t, k, price / float64(min(left, fit(t, s))), mk.Have[k] + rent[k]}
-				if best == nil || cmp.Or(cmp.Compare(o.price, best.price), cmp.Compare(o.have, best.have)) < 0 {
+				// The cloud's calls are scarce: what one request can bring is not
+				// spread over several. The next request goes to another zone.
+				o := option{t, k, price / float64(min(left, fit(t, s))), rent[k]%MaxRent != 0, mk.Have[k] + rent[k]}
+				if best == nil || cmp.Or(cmp.Compare(o.price, best.price), first(o.begun, best.begun), cmp.Compare(o.have, best.have)) < 0 {
 					best = &o
 				}
 			}
