Machines are called by signs; zones that fall dark; deadlines with a second chance

Now what the cloud lists no more, a failed order, an overdue report or a zone of which nobody is heard has machines called at once; a verdict still needs a failed call and its turn.

--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -163,6 +163,7 @@
 	unmet     []placement.Demand
 	pokes     []*machine // have something to be told at once
 	ordersOut int
+	callsOut  int
 
 	shownAt    time.Time
 	fleetAt    time.Time
@@ -196,6 +197,7 @@
 		watch: liveness.New(liveness.Config{
 			SilentFor: d.Derived.SilentFor, LeaseOver: d.Derived.LeaseOver,
 			HoldGrace: d.Derived.HoldGrace, Gap: d.Derived.VerdictGap, ZoneSize: smallZone,
+			Overdue: d.Derived.Overdue, Dark: d.Derived.ZoneDark,
 		}),
 	}
 	ctx, stop := context.WithCancel(ctx)
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -166,13 +166,14 @@
 	if l.mayBegin(now) {
 		l.findSlow(now)
 	}
-	calls, verdicts := l.watch.Tick(now)
+	calls, verdicts := l.watch.Tick(now, l.Derived.OrdersOut-l.callsOut)
 	for _, id := range calls {
 		m := l.machines[id]
 		if m == nil {
 			l.watch.Forget(id)
 			continue
 		}
+		l.callsOut++
 		go func() {
 			r, err := l.Workers.Inspect(ctx, m.addr)
 			l.post(ctx, func(now time.Time) { l.inspected(m, r, err, now) })
@@ -201,6 +202,7 @@
 }
 
 func (l *Leader) inspected(m *machine, r *workers.Report, err error, now time.Time) {
+	l.callsOut--
 	if err != nil {
 		l.watch.CallDone(m.id, false, liveness.Counter{}, now)
 		return
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -20,12 +20,6 @@
 		return placement.NoDeadline
 	}
 	age, runs := float64(wall-j.atMs)/1000, l.runS(j.spec)
-	if j.spec.DeadlineS != nil {
-		if left := *j.spec.DeadlineS - age; left >= runs {
-			return left
-		}
-		return placement.Late
-	}
 	due, aims := float64(placement.Late), false
 	for _, o := range l.Settings.Deployment.Objectives {
 		if o.Class != j.spec.Class {
@@ -34,11 +28,22 @@
 		switch left := o.WithinS - age; {
 		case o.Kind == "finished" && left >= runs:
 			due = min(due, left)
+		case o.Kind == "deadline" && j.spec.DeadlineS != nil:
+			aims = true
+			if left := max(1, o.Times)**j.spec.DeadlineS - age; left >= runs {
+				due = min(due, left)
+			}
 		case o.Kind == "wait" && left >= 0 && j.waiting == j.spec.Tasks:
 			due = min(due, left+runs)
 		}
 		aims = aims || o.Kind == "finished"
 	}
+	if j.spec.DeadlineS != nil && !aims { // nobody has said how much it matters
+		aims = true
+		if left := *j.spec.DeadlineS - age; left >= runs {
+			due = left
+		}
+	}
 	if !aims {
 		return placement.NoDeadline
 	}
--- a/internal/control/tasks.go
+++ b/internal/control/tasks.go
@@ -38,7 +38,7 @@
 		}
 		l.shelves.Remove(o)
 		o.Type, o.Zone, o.Spot = m.typ, m.zone, m.spot
-		o.Total = placement.Amount{CPUs: t.CPUs, GPUs: t.GPUs, RAMGB: t.RAMGB}
+		o.Total, o.FetchGBPS = placement.Amount{CPUs: t.CPUs, GPUs: t.GPUs, RAMGB: t.RAMGB}, t.FetchGBPS
 		o.Free = o.Total.Plus(m.room, -1)
 	}
 	l.shelves.Put(m.offer)
--- a/internal/liveness/liveness.go
+++ b/internal/liveness/liveness.go
@@ -16,6 +16,9 @@
 	HoldGrace time.Duration // how long one floor holds all verdicts
 	Gap       time.Duration // between two verdicts in a zone of up to ZoneSize machines, less in larger ones
 	ZoneSize  int
+	// A machine whose report is overdue, or of whose zone nobody is heard, is
+	// called before it has been silent for as long as SilentFor.
+	Overdue, Dark time.Duration
 }
 
 // Counter orders the messages of one worker.
@@ -67,11 +70,12 @@
 	pacers    map[string]*Pacer
 	disrupted bool
 	lastHeard time.Time // the last report of any machine
+	zoneHeard map[string]time.Time
 }
 
 // New makes an empty picture.
 func New(cfg Config) *Watch {
-	return &Watch{cfg: cfg, machines: map[string]*machine{}, pacers: map[string]*Pacer{}}
+	return &Watch{cfg: cfg, machines: map[string]*machine{}, pacers: map[string]*Pacer{}, zoneHeard: map[string]time.Time{}}
 }
 
 // Restore adds a machine that an earlier leader knew. It is unsynced: until it
@@ -99,7 +103,7 @@
 		m.floor = Counter{}
 	}
 	m.zone, m.heard, m.known, m.calls = zone, now, c, 0
-	w.lastHeard = now
+	w.lastHeard, w.zoneHeard[zone] = now, now
 	m.synced, m.dawdles, m.suspect = true, false, false
 	if !m.deaf {
 		m.judged, m.confirmed = false, ""
@@ -187,9 +191,26 @@
 	return m.suspect || m.deaf || w.silent(m, now)
 }
 
-// Tick returns the machines to call now and the verdicts to carry out.
-func (w *Watch) Tick(now time.Time) (calls []string, verdicts []Verdict) {
-	if w.allSilent(now) && !w.disrupted {
+// darkLeast is how many machines a zone needs for its silence to say more than
+// that of each: the periods of a few may fall together.
+const darkLeast = 4
+
+// dark tells whether so many machines have been unheard for so long that what
+// lies between them and us, or all of them, must be gone.
+func (w *Watch) dark(machines int, heard, now time.Time) bool {
+	return w.cfg.Dark > 0 && machines >= darkLeast && !heard.IsZero() && now.Sub(heard) > w.cfg.Dark
+}
+
+// missed tells whether a report that should have come did not. That alone says
+// little; the machine is called.
+func (w *Watch) missed(m *machine, zone int, now time.Time) bool {
+	return m.synced && (w.cfg.Overdue > 0 && now.Sub(m.heard) > w.cfg.Overdue || w.dark(zone, w.zoneHeard[m.zone], now))
+}
+
+// Tick returns the machines to call now, as many as may be, and the verdicts to
+// carry out.
+func (w *Watch) Tick(now time.Time, most int) (calls []string, verdicts []Verdict) {
+	if !w.disrupted && (w.allSilent(now) || w.dark(len(w.machines), w.lastHeard, now)) {
 		w.disrupted = true
 		for _, p := range w.pacers {
 			p.Swap(0, now)
@@ -198,8 +219,11 @@
 	held := false
 	var ids []string
 	zones := map[string]int{}
-	for id, m := range w.machines {
+	for _, m := range w.machines {
 		zones[m.zone]++
+	}
+	for id, m := range w.machines {
+		m.suspect = m.suspect || w.missed(m, zones[m.zone], now)
 		if !m.judged && !m.calling && w.looksDead(m, now) {
 			ids = append(ids, id)
 		}
@@ -218,7 +242,7 @@
 	for _, id := range ids {
 		m := w.machines[id]
 		if m.confirmed == "" {
-			if now.Before(m.callAfter) {
+			if now.Before(m.callAfter) || len(calls) >= most {
 				continue
 			}
 			m.calling = true
@@ -259,6 +283,7 @@
 		if m.known.Before(c) {
 			m.known, m.calls = c, 0
 		}
+		m.callAfter = now.Add(w.cfg.HoldGrace / 2)
 		return // alive, whatever the signs were
 	}
 	// Each call of ours that arrived raised the counter by one, this one too.
@@ -319,8 +344,11 @@
 // must not look dead at once.
 func (w *Watch) leaveDisruption(now time.Time) {
 	w.disrupted = false
+	for zone := range w.zoneHeard {
+		w.zoneHeard[zone] = now
+	}
 	for _, m := range w.machines {
-		m.heard, m.confirmed = now, ""
+		m.heard, m.confirmed, m.suspect = now, "", false
 	}
 	for _, p := range w.pacers {
 		p.Swap(w.cfg.Gap, now) // and to the pace of its size with the next verdict
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -284,25 +284,30 @@
 			if !m.open(j) || !m.Free.Fits(need) {
 				return true
 			}
-			image := 1.0
-			if m.Images[j.Spec.Image] {
-				image = 0
-			}
+			fetch := m.fetch(j.Spec)
 			left := leftover(m, need)
-			key := [3]float64{0, left, image}
+			key := [3]float64{0, left, fetch}
 			if service {
-				key = [3]float64{image, left, 0}
+				key = [3]float64{fetch, left, 0}
 			}
 			if best == nil || slices.Compare(key[:], bestKey[:]) < 0 {
 				best, bestKey = m, key
 			}
 			// The next ones on this shelf are emptier.
-			return service && image == 1 || !service && image == 1 && left == bestKey[1]
+			return fetch > 0 && (service || left == bestKey[1])
 		})
 	}
 	return best
 }
 
+// fetch is how long a machine needs to get a job's image, in seconds.
+func (m *Machine) fetch(s *jobs.Spec) float64 {
+	if m.Images[s.Image] {
+		return 0
+	}
+	return s.ImageGB / max(m.FetchGBPS, slack)
+}
+
 // leftover is the share of a machine that stays free.
 func leftover(m *Machine, need Amount) float64 {
 	rest := m.Free.Plus(need, -1)
--- a/internal/placement/shelves.go
+++ b/internal/placement/shelves.go
@@ -12,6 +12,7 @@
 	Spot           bool
 	Slow           bool // not for batch tasks
 	Total, Free    Amount
+	FetchGBPS      float64
 	Images         map[string]bool
 	Avoid          map[string]bool // jobs that should not come back
 
--- a/internal/settings/derived.go
+++ b/internal/settings/derived.go
@@ -25,6 +25,8 @@
 	LeaseOver  time.Duration // a worker's lease, as measured by any clock but its own
 	SilentFor  time.Duration // a machine unheard for so long looks dead
 	CallWait   time.Duration // how long a call to a worker may take
+	Overdue    time.Duration // unheard for so long, a machine has missed a report, whatever befell it
+	ZoneDark   time.Duration // nobody heard of a zone for so long, its machines are called
 	HoldGrace  time.Duration // how long one floor can hold all verdicts
 	VerdictGap time.Duration // least time between two verdicts in a zone
 
@@ -84,8 +86,12 @@
 		Lease:  lease,
 		Cancel: cancel,
 
-		LeaseOver:  time.Duration(float64(lease)*(1+clockDrift)) + min(report/10, (cancel-lease)/8),
-		SilentFor:  times(report, s.Operator.SilentReports),
+		LeaseOver: time.Duration(float64(lease)*(1+clockDrift)) + min(report/10, (cancel-lease)/8),
+		SilentFor: times(report, s.Operator.SilentReports),
+		// A period and its quarter, and a worker that waited for an answer in
+		// vain and goes on to the next node.
+		Overdue:    report*5/4 + workerWait*5/4,
+		ZoneDark:   max(report, workerWait),
 		CallWait:   min(report, term) / 2,
 		HoldGrace:  times(report, s.Operator.HoldReports),
 		VerdictGap: seconds(s.Operator.VerdictGapS),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -67,6 +67,7 @@
 	Class   string  `toml:"class"`
 	WithinS float64 `toml:"within_s"`
 	Share   float64 `toml:"share"`
+	Times   float64 `toml:"times"` // of the job's own deadline
 }
 
 // Workers holds the workers' periods.
