Rules by tests: late copies, one-way loss, lagging watches, starvation, zone cuts

Found by the tests: an order that comes once more after its task's end was cleared started the task again (clears now wait for a higher token); best effort that began after long was stopped at once for higher priority (now only for production); a stand-in worker outlived its lease while a report hung. A watch that lags no longer makes the leader's picture, or a poll's answer, look new.

--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -147,6 +147,8 @@
 	stuck     bool // the last transaction was not executed, as far as is known
 	tokenMark uint64
 	raise     bool
+	raisedAt  time.Time
+	clearHeld bool // an end is not cleared, for want of a higher token
 	mayResign bool
 	resign    bool
 	finals    []*job
@@ -314,6 +316,7 @@
 		l.arrived(j, time.Duration(now.UnixMilli()-j.atMs)*time.Millisecond, now)
 	}
 	l.replan, l.recover = true, true
+	l.raisedAt = now
 	l.listSyncAt = now.Add(2 * l.Derived.ListLag)
 	slog.Info("records read", "term", l.token, "jobs", len(l.jobs), "ended", len(ended), "machines", len(l.machines))
 	return after, nil
@@ -421,8 +424,16 @@
 
 // follow watches the jobs.
 func (l *Leader) follow(ctx context.Context, after uint64) {
+	var least uint64
+	var asked time.Time
 	for ctx.Err() == nil {
-		sent := time.Now()
+		// Only what reaches a revision read at some moment is as new as that: a
+		// watch may lag, or be empty because the service does not serve this node.
+		if sent := time.Now(); least <= after {
+			if r, err := l.Store.Revision(ctx); err == nil {
+				least, asked = r, sent
+			}
+		}
 		rev, changes, err := l.Store.Watch(ctx, jobs.RecordPrefix, after, l.Derived.WatchWait)
 		if err == state.ErrCompacted {
 			var pairs []state.Pair
@@ -441,8 +452,12 @@
 			continue
 		}
 		after = max(after, rev)
+		proven := after >= least && !asked.IsZero()
+		sent := asked
 		l.post(ctx, func(now time.Time) {
-			l.fresh = sent
+			if proven && sent.After(l.fresh) {
+				l.fresh = sent
+			}
 			for _, c := range changes {
 				l.jobChanged(c, now)
 			}
--- a/internal/control/model.go
+++ b/internal/control/model.go
@@ -132,6 +132,7 @@
 	sent     bool      // a run went out and is not yet known to have failed
 	ordered  bool      // it went out in an order that has not returned
 	doubt    uint64    // a run under this token may still arrive
+	overdue  bool      // its job had got nothing for too long
 	stop     bool      // shall stop
 	grace    float64
 }
@@ -171,16 +172,17 @@
 	orderBusy           bool
 	orderAfter          time.Time
 	doubtSince          time.Time
-	failures            map[string]bool // jobs that failed here since one succeeded
-	listed              time.Time       // when the newest list that had it was asked for
-	told                []workers.Call  // what the last answer asked for
-	unheeded            int             // answers in a row of which nothing came
+	ordered             map[uint64]uint64 // attempts begun by an order, with its token
+	failures            map[string]bool   // jobs that failed here since one succeeded
+	listed              time.Time         // when the newest list that had it was asked for
+	told                []workers.Call    // what the last answer asked for
+	unheeded            int               // answers in a row of which nothing came
 }
 
 func newMachine(id string, now time.Time) *machine {
 	return &machine{
 		id: id, known: now, idleSince: now,
-		assigned: map[uint64]*assignment{}, avoid: map[string]time.Time{}, failures: map[string]bool{},
+		assigned: map[uint64]*assignment{}, avoid: map[string]time.Time{}, failures: map[string]bool{}, ordered: map[uint64]uint64{},
 		offer: &placement.Machine{ID: id, Images: map[string]bool{}, Avoid: map[string]bool{}},
 	}
 }
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -48,6 +48,11 @@
 		m.orderBusy = true
 		l.watch.Called(m.id)
 		order := workers.Order{Token: l.token, Session: m.session, Calls: calls}
+		for _, c := range calls {
+			if c.Op == workers.OpRun {
+				m.ordered[c.Attempt] = l.token
+			}
+		}
 		go func() {
 			r, ok, err := l.Workers.Order(ctx, m.addr, order)
 			l.post(ctx, func(now time.Time) { l.ordered(m, order, r, ok, err, now) })
@@ -106,8 +111,12 @@
 	}
 }
 
-// doubts asks for a higher token where orders have been in doubt for long.
+// doubts asks for a higher token where orders have been in doubt for long, and
+// once in a lease where an end waits for it to be cleared.
 func (l *Leader) doubts(now time.Time) {
+	if l.clearHeld && now.Sub(l.raisedAt) > l.Derived.Lease {
+		l.raise = true
+	}
 	for _, m := range l.machines {
 		if m.doubtSince.IsZero() {
 			continue
--- a/internal/control/picture_test.go
+++ b/internal/control/picture_test.go
@@ -128,3 +128,95 @@
 		t.Error("answered without the term")
 	}
 }
+
+// What a new leader hears first may be a copy of a report that was sent to an
+// earlier one, at any time. It proves nothing: not that the machine is there, not
+// that a task is not.
+func TestReportsBeforeTheTerm(t *testing.T) {
+	l, m, j, now := bench()
+	l.report(report(1, 2), now)
+	old := report(1, 9)
+	old.Token = 4
+	until := l.Derived.SilentFor + time.Second
+	if a := l.report(old, now.Add(until)); a == nil || a.Token != 5 || len(a.Calls) != 0 {
+		t.Errorf("answered %+v, want the token and no commands", a)
+	}
+	if m.seq == 9 || j.tasks[0] == nil || l.watch.Placeable("m-1", now.Add(until)) {
+		t.Error("an old report counted as news")
+	}
+	other := report(1, 3)
+	other.Machine, other.Token = "m-2", 4
+	if l.report(other, now); l.machines["m-2"] != nil {
+		t.Error("a machine was taken in by an old report of it")
+	}
+}
+
+// A copy of a report that was answered renews no lease, wakes no dead machine
+// and sets no floor.
+func TestCopiesOfReports(t *testing.T) {
+	l, m, _, now := bench()
+	l.report(report(1, 2), now)
+	l.report(report(1, 3, workers.Task{Task: "j-1/0", Attempt: 101, State: workers.Running}), now)
+	lease := m.leaseUntil
+	m.dead = true
+	for _, seq := range []uint64{1, 2, 3} {
+		if l.report(report(1, seq), now.Add(5*time.Second)) != nil {
+			t.Errorf("a copy of report %d was answered", seq)
+		}
+	}
+	if m.leaseUntil != lease || !m.dead || m.reported != now {
+		t.Error("a copy counted as a report")
+	}
+	// An answer to an order may overtake a report: that one is no copy.
+	l.observe(m, report(1, 9, workers.Task{Task: "j-1/0", Attempt: 101, State: workers.Running}), now)
+	if l.report(report(1, 8), now.Add(5*time.Second)) == nil || m.seq != 9 {
+		t.Error("a report that an answer overtook was not answered, or turned the picture back")
+	}
+}
+
+// Reports of a machine arrive, our answers do not: what they ask for never
+// happens. It must not look healthy for ever.
+func TestAnswersUnheeded(t *testing.T) {
+	l, m, _, now := bench()
+	for seq := uint64(2); seq < 2+mostUnheeded+1; seq++ {
+		if calls := l.report(report(1, seq), now).Calls; len(calls) != 1 {
+			t.Fatalf("report %d: %v", seq, ops(calls))
+		}
+	}
+	if l.usable(m, now) {
+		t.Error("a machine that does not hear is given work")
+	}
+	if calls, _ := l.watch.Tick(now, 1); len(calls) != 1 {
+		t.Error("it is not called")
+	}
+	l.inspected(m, report(1, 20), nil, now)
+	if !l.usable(m, now) {
+		t.Error("it answers calls, but is given no work")
+	}
+	l.report(report(1, 21, workers.Task{Task: "j-1/0", Attempt: 101, State: workers.Running}), now)
+	l.report(report(1, 22, workers.Task{Task: "j-1/0", Attempt: 101, State: workers.Running}), now)
+	if m.unheeded != 0 || !l.usable(m, now) {
+		t.Error("a machine that does what it is told is suspected")
+	}
+}
+
+// What the cloud lists no more is mostly gone: it is called at once, unless it
+// has reported since the list was asked for, or never was in a list.
+func TestUnlistedMachinesAreCalled(t *testing.T) {
+	l, _, _, now := bench()
+	for _, id := range []string{"m-2", "m-3"} {
+		r := report(1, 1)
+		r.Machine = id
+		l.report(r, now)
+	}
+	l.listed(t.Context(), []fleet.Listed{{ID: "m-1", State: fleet.Running}, {ID: "m-2", State: fleet.Running}}, now.Add(time.Millisecond), now)
+	asked := now.Add(2 * time.Millisecond)
+	r := report(1, 2)
+	r.Machine = "m-2"
+	l.report(r, asked.Add(time.Millisecond))
+	l.listed(t.Context(), nil, asked, asked.Add(2*time.Millisecond))
+	calls, _ := l.watch.Tick(asked.Add(3*time.Millisecond), 10)
+	if d := cmp.Diff([]string{"m-1"}, calls); d != "" {
+		t.Error(d)
+	}
+}
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -170,7 +170,7 @@
 	for _, as := range out.Assign {
 		j := back[as.Job]
 		j.served = now
-		l.assign(j, j.take(), l.machines[as.Machine.ID], now)
+		l.assign(j, j.take(), l.machines[as.Machine.ID], now).overdue = as.Overdue
 	}
 	l.unmet = out.Unmet
 }
@@ -194,7 +194,7 @@
 				j = &placement.Job{Spec: a.job.spec, Guaranteed: a.job.covered}
 				jobs[a.job] = j
 			}
-			v := &placement.Placed{Job: j, N: a.n}
+			v := &placement.Placed{Job: j, N: a.n, Overdue: a.overdue}
 			if a.seen == workers.Running {
 				v.RanS = now.Sub(a.since).Seconds()
 			}
@@ -266,7 +266,7 @@
 }
 
 // assign gives a task to a machine, as far as this leader is concerned.
-func (l *Leader) assign(j *job, n int, m *machine, now time.Time) {
+func (l *Leader) assign(j *job, n int, m *machine, now time.Time) *assignment {
 	l.attempts++
 	a := &assignment{job: j, n: n, attempt: l.attempts, session: m.session, m: m, since: now, born: now}
 	slog.Debug("task placed", "task", a.name(), "machine", m.id, "term", l.token, "class", j.spec.Class)
@@ -274,4 +274,5 @@
 	m.assigned[a.attempt] = a
 	j.tasks[n] = a
 	l.book.begins = append(l.book.begins, a)
+	return a
 }
--- a/internal/control/tasks.go
+++ b/internal/control/tasks.go
@@ -151,6 +151,11 @@
 	if r.NoticeS != nil {
 		l.notice(m, *r.NoticeS, now)
 	}
+	for attempt, token := range m.ordered {
+		if token < m.token && taskIn(r, attempt) == nil {
+			delete(m.ordered, attempt)
+		}
+	}
 	for _, a := range m.assigned {
 		if a.outcome != open || a.session != r.Session {
 			continue
@@ -357,7 +362,9 @@
 
 // calls returns what the worker should do, from the difference between its
 // picture and ours. A clear goes out in answers only: there is one report in
-// flight, so that no run in an earlier answer can follow it.
+// flight, so that no run in an earlier answer can follow it. An attempt that was
+// begun by an order is cleared when the worker has seen a higher token: it then
+// refuses a late copy of that order, which would start the task once more.
 func (l *Leader) calls(m *machine, answer bool) []workers.Call {
 	calls := []workers.Call{}
 	if m.phase == returning {
@@ -387,6 +394,8 @@
 		switch {
 		case t.State != workers.Ended:
 			calls = append(calls, stopCall(t.Task, t.Attempt, 0))
+		case m.ordered[t.Attempt] >= m.token:
+			l.clearHeld = true
 		case answer:
 			calls = append(calls, workers.Call{Op: workers.OpClear, Task: t.Task, Attempt: t.Attempt})
 		}
--- a/internal/control/write.go
+++ b/internal/control/write.go
@@ -88,8 +88,9 @@
 	b.undo = append(b.undo, func() { l.raise = true })
 	b.done = append(b.done, func(rev uint64) {
 		l.token, l.tokenMark = next, rev
+		l.raisedAt, l.clearHeld = time.Now(), false
 		l.Raised(next)
-		slog.Info("token raised", "term", l.token, "reason", "orders in doubt")
+		slog.Info("token raised", "term", l.token, "reason", "an order may still arrive")
 	})
 	b.add(term.TokenKey, l.tokenMark, json.RawMessage(strconv.FormatUint(next, 10)), func(m uint64) {
 		// Ours, from an attempt whose outcome was unknown.
--- a/internal/jobs/mirror.go
+++ b/internal/jobs/mirror.go
@@ -12,11 +12,10 @@
 )
 
 // Mirror is this node's copy of all jobs' stances. It answers users' polls at the
-// cost of one read of the state service for all polls that wait at a time.
+// cost of two small reads of the state service for all polls that wait at a time.
 //
 // An answer is as good as a read of its own record: the mirror holds every job
-// as of a revision, and is brought up to date by a read of the changes since
-// that begins after the poll came in.
+// as of a revision, and is brought up to one that was read after the poll came in.
 type Mirror struct {
 	store *state.Client
 	gap   time.Duration // least time between two reads
@@ -96,25 +95,53 @@
 	}
 }
 
-// read brings the mirror up to date.
+// ErrLags means that the changes up to now were not to be had.
+var ErrLags = errors.New("changes lag")
+
+// readTries is how often a read asks for changes that lag.
+const readTries = 3
+
+// read brings the mirror up to date. A watch may lag, or be empty because the
+// service does not serve this node: the revision, read first, is what it has to
+// reach.
 func (m *Mirror) read(ctx context.Context) error {
 	if m.whole {
-		revision, changes, err := m.store.Watch(ctx, RecordPrefix, m.revision, 0)
-		if err == nil {
+		least, err := m.store.Revision(ctx)
+		if err != nil {
+			return err
+		}
+		for range readTries {
+			revision, changes, err := m.store.Watch(ctx, RecordPrefix, m.revision, 0)
+			if errors.Is(err, state.ErrCompacted) {
+				m.whole = false
+				return m.list(ctx)
+			}
+			if err != nil {
+				return err
+			}
 			for _, c := range changes {
 				if c.Set != "" {
 					m.set(c.Set, c.Value)
 				}
 			}
 			m.revision = max(m.revision, revision)
-			return nil
-		}
-		if !errors.Is(err, state.ErrCompacted) {
-			return err
+			if m.revision >= least {
+				return nil
+			}
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-time.After(m.gap):
+			}
 		}
-		m.whole = false
+		return ErrLags
 	}
-	// Records are never removed, so that what is known of them is only added to.
+	return m.list(ctx)
+}
+
+// list reads all records. They are never removed, so that what is known of them
+// is only added to.
+func (m *Mirror) list(ctx context.Context) error {
 	pairs, revision, err := m.store.List(ctx, RecordPrefix)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/jobs/mirror_test.go
@@ -0,0 +1,130 @@
+package jobs_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"ospreyslip/internal/jobs"
+	"ospreyslip/internal/standin"
+	"ospreyslip/internal/state"
+)
+
+// mirrored is a mirror on one node, and a client by which another one writes.
+type mirrored struct {
+	t     *testing.T
+	store *standin.State
+	other *state.Client
+	m     *jobs.Mirror
+}
+
+func withMirror(t *testing.T, scenario func(*mirrored)) {
+	synctest.Test(t, func(t *testing.T) {
+		world, store := standin.NewNet(), standin.NewState()
+		world.Attach("state", "state:1", store)
+		client := func(host string) *state.Client {
+			return state.New("state:1", world.From(host), time.Second, state.Budget{Requests: 1000, Writes: 1000})
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		m := jobs.NewMirror(client("perch-0"), 100*time.Millisecond, 10*time.Second)
+		var duties sync.WaitGroup
+		duties.Go(func() { m.Run(ctx) })
+		scenario(&mirrored{t, store, client("perch-1"), m})
+		cancel()
+		duties.Wait()
+		world.Wait()
+	})
+}
+
+func (c *mirrored) write(id, stance string) {
+	c.t.Helper()
+	value, _ := json.Marshal(jobs.Record{Stance: stance, Tasks: 3})
+	p, _, err := c.other.Get(c.t.Context(), jobs.RecordKey(id))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	if _, failed, err := c.other.Commit(c.t.Context(), []state.Guard{{Key: jobs.RecordKey(id), Mark: p.Mark}}, []state.Write{{Set: jobs.RecordKey(id), Value: value}}); err != nil || len(failed) > 0 {
+		c.t.Fatal(err, failed)
+	}
+}
+
+// poll returns the stance that a user would be told, "404" or "503".
+func (c *mirrored) poll(id string) string {
+	ctx, cancel := context.WithTimeout(c.t.Context(), 2*time.Second)
+	defer cancel()
+	rec, found, err := c.m.Get(ctx, id)
+	switch {
+	case err != nil:
+		return "503"
+	case !found:
+		return "404"
+	}
+	return rec.Stance
+}
+
+func (c *mirrored) want(id, stance, when string) {
+	c.t.Helper()
+	if got := c.poll(id); got != stance {
+		c.t.Errorf("%s: %s is %s, want %s", when, id, got, stance)
+	}
+}
+
+// Once any node has told a user that a job is accepted, done or cancelled, no
+// node may give an older answer, whatever befalls its mirror.
+func TestMirrorIsNeverBehind(t *testing.T) {
+	withMirror(t, func(c *mirrored) {
+		c.want("j-1", "404", "never submitted")
+		c.write("j-1", jobs.Queued)
+		c.want("j-1", jobs.Queued, "just accepted by another node")
+		c.write("j-1", jobs.Done)
+		c.want("j-1", jobs.Done, "just done")
+
+		c.store.Lag(2)
+		c.write("j-2", jobs.Queued)
+		c.want("j-2", "503", "its acceptance is not in the watch yet: neither 404 nor a guess")
+		c.want("j-1", "503", "for this one, too, something newer may be missing")
+		c.store.Lag(0)
+		c.want("j-2", jobs.Queued, "the watch has caught up")
+
+		c.store.Keep(3)
+		for i := range 10 {
+			c.write(fmt.Sprintf("j-1%d", i), jobs.Queued)
+		}
+		c.write("j-2", jobs.Cancelled)
+		c.want("j-2", jobs.Cancelled, "the changes in between are no longer kept")
+		c.want("j-15", jobs.Queued, "so that all records were read again")
+
+		c.store.RefuseFrom("perch-0", true)
+		c.write("j-15", jobs.Done)
+		c.want("j-15", "503", "the state service refuses this node alone")
+		c.store.RefuseFrom("perch-0", false)
+		c.want("j-15", jobs.Done, "served again")
+
+		c.store.Down(true)
+		c.want("j-15", "503", "an outage")
+		c.want("j-99", "503", "an outage: what is not in the mirror may exist")
+		c.store.Down(false)
+		c.want("j-99", "404", "after it")
+	})
+}
+
+// A thousand polls at once cost the state service as much as one.
+func TestPollsShareReads(t *testing.T) {
+	withMirror(t, func(c *mirrored) {
+		c.write("j-1", jobs.Queued)
+		c.want("j-1", jobs.Queued, "accepted")
+		before := c.store.Requests("/watch")
+		var polls sync.WaitGroup
+		for range 1000 {
+			polls.Go(func() { c.want("j-1", jobs.Queued, "in a crowd") })
+		}
+		polls.Wait()
+		if n := c.store.Requests("/watch") - before; n > 3 {
+			t.Errorf("%d reads for 1000 polls at once", n)
+		}
+	})
+}
--- /dev/null
+++ b/internal/node/trouble_test.go
@@ -0,0 +1,292 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"ospreyslip/internal/jobs"
+	"ospreyslip/internal/standin"
+)
+
+// Reports of a machine arrive, but no answer and no order reaches it. It is given
+// no more work, its tasks come back in time, it is given back itself, and what
+// was cancelled meanwhile ends with its lease.
+func TestMachineDoesNotHear(t *testing.T) {
+	inCluster(t, nil, func(c *cluster) {
+		c.submit("perch-0", service("j-1", 2))
+		c.submit("perch-0", batch("j-2", 20, 300))
+		c.within(60*time.Second, "all up", func() bool { return c.on("j-1", 2) == 2 && c.on("j-2", 20) == 20 })
+		deaf := c.world.On("j-1/0")[0]
+		c.world.Net.Faults(func(from, to, _ string) standin.Fault {
+			switch {
+			case from == deaf:
+				return standin.LoseAnswer
+			case to == deaf:
+				return standin.Silent
+			}
+			return standin.Deliver
+		})
+		c.withdraw("perch-2", "j-2")
+		c.within(45*time.Second, "service whole, elsewhere", func() bool {
+			return c.on("j-1", 2) == 2 && !slices.Contains(c.world.On("j-1/0"), deaf)
+		})
+		c.within(60*time.Second, "given back", func() bool { return !slices.Contains(c.world.Machines(), deaf) })
+		c.world.CheckCancelled()
+		if n := c.on("j-2", 20); n != 0 {
+			t.Errorf("%d tasks of a cancelled job", n)
+		}
+	})
+}
+
+// Every request is carried out once more, much later: reports, orders, commits,
+// grants, renewals, rentals, releases, submissions and cancellations. Machines
+// die and leaders change meanwhile.
+func TestEverythingIsRepeated(t *testing.T) {
+	for _, late := range []time.Duration{3 * time.Second, 12 * time.Second, 35 * time.Second, 70 * time.Second} {
+		t.Run(late.String(), func(t *testing.T) {
+			inCluster(t, nil, func(c *cluster) {
+				c.world.Net.Lateness = late
+				copied := func(_, _, path string) standin.Fault {
+					if path == standin.Stream {
+						return standin.Deliver
+					}
+					return standin.Copied
+				}
+				c.world.Net.Faults(copied)
+				c.submit("perch-0", service("j-1", 2))
+				low := batch("j-2", 16, 25)
+				low.Priority, low.CheckpntS, low.SaveS = jobs.BestEffort, 5, 1
+				c.submit("perch-0", low)
+				c.submit("perch-1", batch("j-3", 12, 200))
+				c.within(60*time.Second, "service up", func() bool { return c.on("j-1", 2) == 2 })
+				c.world.Kill(c.world.On("j-1/1")[0])
+				c.run(20 * time.Second)
+				c.withdraw("perch-1", "j-3")
+				old := c.leader()
+				c.crash(old)
+				c.world.Net.Faults(copied)
+				c.run(8 * time.Second)
+				c.start(old)
+				c.withinDone(3*time.Minute, "j-2")
+				c.within(30*time.Second, "service whole", func() bool { return c.on("j-1", 2) == 2 })
+				c.run(90 * time.Second)
+				c.world.CheckCancelled()
+				if n := c.on("j-3", 12); n != 0 {
+					t.Errorf("%d tasks of a cancelled job", n)
+				}
+			})
+		})
+	}
+}
+
+// An order arrives once more after its task was stopped, cleared and begun
+// elsewhere: only the higher token that the worker has seen keeps it from
+// starting the task again.
+func TestOrderIsRepeatedAfterClear(t *testing.T) {
+	inCluster(t, nil, func(c *cluster) {
+		c.world.Capacity(1)
+		keeps := batch("j-1", 1, 300) // keeps the machine in use
+		keeps.Spot = false
+		c.submit("perch-0", keeps)
+		c.within(60*time.Second, "running", func() bool { return c.on("j-1", 1) == 1 })
+		c.world.Net.Lateness = 60 * time.Second
+		c.world.Net.Faults(func(_, _, path string) standin.Fault {
+			if path == "/orders" {
+				return standin.Copied
+			}
+			return standin.Deliver
+		})
+		low := batch("j-2", 2, 400)
+		low.Priority, low.Spot = jobs.BestEffort, false
+		c.submit("perch-0", low)
+		c.within(30*time.Second, "low is running", func() bool { return c.on("j-2", 2) == 2 })
+		s := service("j-3", 1)
+		s.CPUs, s.Spread = 3, false
+		c.submit("perch-0", s) // takes its place
+		c.within(30*time.Second, "service up", func() bool { return c.on("j-3", 1) == 1 })
+		c.world.Capacity(2)
+		c.within(40*time.Second, "low is back elsewhere", func() bool { return c.on("j-2", 2) == 2 })
+		c.withdraw("perch-1", "j-3")
+		before := c.world.Starts()
+		c.run(90 * time.Second)
+		if n := c.world.Starts() - before; n != 0 {
+			t.Errorf("%d starts by orders that came once more", n)
+		}
+	})
+}
+
+// The leader's watch lags, so that it does not see a cancellation. It may not
+// answer workers on an old picture for longer than the cancellation has.
+func TestWatchLags(t *testing.T) {
+	inCluster(t, nil, func(c *cluster) {
+		c.allUp()
+		c.world.State.Lag(1000)
+		c.withdraw("perch-1", "j-1")
+		c.run(41 * time.Second)
+		c.world.CheckCancelled()
+		c.world.State.Lag(0)
+		c.withinDone(3*time.Minute, "j-2")
+	})
+}
+
+// A controller loses the state service and the other controllers, but not its
+// workers. As leader it stops in time, and its workers go on elsewhere; as
+// follower it sends no worker to one that leads no more.
+func TestAloneWithWorkers(t *testing.T) {
+	inCluster(t, nil, func(c *cluster) {
+		c.allUp()
+		alone := c.leader()
+		cut := func(from, to, path string) standin.Fault {
+			if from != alone && to != alone || strings.HasPrefix(from, "m-") || strings.HasPrefix(to, "m-") || from == "user" {
+				return standin.Deliver
+			}
+			return standin.Silent
+		}
+		c.world.Net.Faults(cut)
+		c.within(15*time.Second, "another leader", func() bool { l := c.leader(); return l != "" && l != alone })
+		c.run(30 * time.Second)
+		if c.on("j-1", 2) != 2 || c.world.Starts() != 8 {
+			t.Errorf("the move cost work: %d starts for 8 tasks", c.world.Starts())
+		}
+		c.world.Net.Faults(nil)
+		c.run(5 * time.Second)
+		leader := c.leader()
+		alone = c.names[(slices.Index(c.names, leader)+1)%3] // and now as follower
+		c.world.Net.Faults(cut)
+		c.run(20 * time.Second)
+		report := map[string]any{"host": "m-000900", "addr": "10.1.9.9:9000", "perchKind": "c4", "eyrie": "a", "soar": 1, "beat": 1, "crest": 0, "talons": []any{}}
+		if status, view := c.ask("POST", alone, "/v1/report", report); status != http.StatusServiceUnavailable {
+			t.Errorf("a node that knows nothing of the term answers a worker %d %v", status, view)
+		}
+		token := string(c.world.State.Value("term/token"))
+		c.world.Net.Faults(nil)
+		c.run(20 * time.Second)
+		if now := string(c.world.State.Value("term/token")); now != token {
+			t.Errorf("coming back it disturbed the term: token %s, before %s", now, token)
+		}
+		c.withinDone(2*time.Minute, "j-2")
+	})
+}
+
+// Controllers refuse each other's connections, while all reach the rest.
+func TestPeersRefuse(t *testing.T) {
+	inCluster(t, nil, func(c *cluster) {
+		c.allUp()
+		c.world.Net.Faults(func(_, _, path string) standin.Fault {
+			if path == standin.Stream {
+				return standin.Refuse
+			}
+			return standin.Deliver
+		})
+		token := string(c.world.State.Value("term/token"))
+		c.withinDone(90*time.Second, "j-2")
+		if c.on("j-1", 2) != 2 || c.world.Starts() != 8 {
+			t.Errorf("it cost work: %d starts for 8 tasks", c.world.Starts())
+		}
+		old := c.leader()
+		c.crash(old) // the others agree without speaking to each other
+		c.within(15*time.Second, "another leader", func() bool { l := c.leader(); return l != "" && l != old })
+		if string(c.world.State.Value("term/token")) == token {
+			t.Error("the token was not raised")
+		}
+	})
+}
+
+// A zone is cut off with one controller, the leader or not. The rest runs the
+// zone's tasks again once they are off its machines, and never twice.
+func TestZoneCut(t *testing.T) {
+	for _, leads := range []bool{false, true} {
+		for _, fault := range []standin.Fault{standin.Silent, standin.Late, standin.Refuse} {
+			t.Run(fmt.Sprintf("leads=%v fault=%d", leads, fault), func(t *testing.T) {
+				inCluster(t, nil, func(c *cluster) {
+					c.submit("perch-0", service("j-1", 4))
+					c.submit("perch-0", batch("j-2", 12, 60))
+					c.within(60*time.Second, "all up", func() bool { return c.on("j-1", 4) == 4 && c.on("j-2", 12) >= 4 })
+					node := c.leader()
+					if !leads {
+						node = c.names[(slices.Index(c.names, node)+1)%3]
+					}
+					zone := c.world.ZoneOf(c.world.On("j-1/0")[0])
+					within := func(host string) bool { return host == node || c.world.ZoneOf(host) == zone }
+					c.world.Net.Lateness = 40 * time.Second
+					c.world.Net.Faults(func(from, to, _ string) standin.Fault {
+						if from != "user" && within(from) != within(to) {
+							return fault
+						}
+						return standin.Deliver
+					})
+					c.within(60*time.Second, "service whole outside", func() bool {
+						up := 0
+						for i := range 4 {
+							for _, m := range c.world.On(fmt.Sprintf("j-1/%d", i)) {
+								if c.world.ZoneOf(m) != zone {
+									up++
+								}
+							}
+						}
+						return up >= 2 // at most half may be in one zone, and two zones are left
+					})
+					c.run(30 * time.Second)
+					c.world.Net.Faults(nil)
+					c.withinDone(4*time.Minute, "j-2")
+					c.within(30*time.Second, "service whole", func() bool { return c.on("j-1", 4) == 4 })
+				})
+			})
+		}
+	}
+}
+
+// Processes are back within a fraction of a second, also in the middle of an
+// election and of an outage with its promises.
+func TestBackAtOnce(t *testing.T) {
+	inCluster(t, nil, func(c *cluster) {
+		c.allUp()
+		for i := range 12 {
+			gap := time.Duration(20+60*i) * time.Millisecond
+			old := c.leader()
+			if old == "" {
+				old = c.names[i%3]
+			}
+			c.crash(old)
+			c.run(gap / 2)
+			c.start(old)
+			c.run(gap)
+			if i%4 == 3 {
+				other := c.names[(slices.Index(c.names, old)+1)%3]
+				c.crash(other)
+				c.run(gap)
+				c.start(other)
+				c.world.State.Down(true)
+				c.run(4 * gap)
+				c.world.State.Down(false)
+			}
+			c.run(2 * time.Second)
+		}
+		c.within(20*time.Second, "service up", func() bool { return c.on("j-1", 2) == 2 })
+		c.withinDone(3*time.Minute, "j-2")
+	})
+}
+
+// Jobs of higher priority keep coming and take every machine. What is of the
+// lowest priority, and has the largest tasks, begins within four minutes.
+func TestNobodyStarves(t *testing.T) {
+	inCluster(t, nil, func(c *cluster) {
+		c.world.Capacity(2)
+		last := batch("j-1", 3, 10)
+		last.Priority, last.CPUs, last.Team = jobs.BestEffort, 4, "red"
+		c.submit("perch-0", last)
+		began := false
+		for i := range 48 {
+			c.submit("perch-1", batch(fmt.Sprintf("j-1%02d", i), 8, 9))
+			c.run(5 * time.Second)
+			began = began || c.on("j-1", 3) > 0
+		}
+		if !began {
+			t.Error("did not begin in four minutes")
+		}
+	})
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -68,6 +68,7 @@
 type Assignment struct {
 	Job     *Job
 	Machine *Machine
+	Overdue bool // it went ahead because the job had got nothing for too long
 }
 
 // Stop takes a task off its machine to make room.
@@ -191,7 +192,7 @@
 			break
 		}
 		in.put(j, m)
-		out.Assign = append(out.Assign, Assignment{j, m})
+		out.Assign = append(out.Assign, Assignment{j, m, t.overdue})
 		want--
 		j.Waiting--
 	}
@@ -335,8 +336,12 @@
 	in.Used[j.Spec.Team] = in.Used[j.Spec.Team].Plus(Of(j.Spec), 1)
 }
 
-// mayStop tells whether work of v may be stopped to make room for j.
-func mayStop(in *Input, j, v *Job) bool {
+// mayStop tells whether a task may be stopped to make room for j.
+func mayStop(in *Input, j *Job, p *Placed) bool {
+	v := p.Job
+	if p.Overdue && j.Spec.Priority != jobs.Prod {
+		return false // it waited for too long to lose its place at once
+	}
 	if v.Spec.Rank() < j.Spec.Rank() {
 		return true
 	}
@@ -447,7 +452,7 @@
 	}
 	var order []*Placed
 	for _, v := range m.Tasks {
-		if mayStop(in, j, v.Job) {
+		if mayStop(in, j, v) {
 			order = append(order, v)
 		}
 	}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -119,6 +119,13 @@
 			in.Machines = []*Machine{m}
 			in.Jobs = []*Job{job("j-2", 1, 2, prod)}
 		}, "stop j-1/0@a1 stop j-1/1@a1"},
+		{"but not what had waited too long, unless for production", func(in *picture) {
+			m := box("a1", 4)
+			running(m, job("j-1", 1, 4, func(s *jobs.Spec) { s.Priority = jobs.BestEffort }), 0, 1)
+			m.Tasks[0].Overdue = true
+			in.Machines = []*Machine{m}
+			in.Jobs = []*Job{job("j-2", 1, 4, nil), job("j-3", 1, 2, prod)}
+		}, "stop j-1/0@a1 unmet j-2 1"},
 		{"equal priority of the same team is left alone", func(in *picture) {
 			m := box("a1", 4)
 			running(m, job("j-1", 1, 4, nil), 0, 1)
--- a/internal/placement/shelves.go
+++ b/internal/placement/shelves.go
@@ -25,9 +25,10 @@
 
 // Placed is a task on a machine that could be stopped.
 type Placed struct {
-	Job  *Job
-	N    int
-	RanS float64 // what stopping it would lose
+	Job     *Job
+	N       int
+	RanS    float64 // what stopping it would lose
+	Overdue bool    // placed because its job had got nothing for too long
 }
 
 // Shelves hold the machines that take work, one shelf a kind, the fullest first:
--- a/internal/settings/derived.go
+++ b/internal/settings/derived.go
@@ -60,6 +60,7 @@
 const (
 	flushWrites = 4.0  // a transaction of the leader comes no sooner than so many writes are to be had
 	pollShare   = 0.25 // of all reads, for users' polls
+	pollReads   = 2.0  // reads for all polls that wait at a time
 )
 
 // largestBegin is by when even the largest jobs must have begun, from the protocol.
@@ -113,7 +114,7 @@
 		// Transactions in a row would spend the write rate on small ones.
 		FlushGap: seconds(flushWrites / d.State.WriteRPS),
 		// All nodes together spend a part of the reads on polls.
-		PollGap: seconds(float64(d.Nodes) / (pollShare * d.State.RPS)),
+		PollGap: seconds(pollReads * float64(d.Nodes) / (pollShare * d.State.RPS)),
 		BeginBy: largestBegin / 2,
 
 		TxnOps:      d.State.TxnOps,
--- a/internal/standin/net.go
+++ b/internal/standin/net.go
@@ -26,6 +26,7 @@
 	Silent           // nothing arrives and nothing comes back
 	LoseAnswer       // it is executed, but the answer never comes
 	Late             // it is executed after Net.Lateness, when nobody waits any more
+	Copied           // it is delivered, and executed once more after Net.Lateness
 )
 
 // Net carries requests between named hosts.
@@ -191,6 +192,20 @@
 	inner.RequestURI = req.URL.RequestURI()
 	inner.Body = io.NopCloser(bytes.NewReader(body))
 	inner.RemoteAddr = l.from
+	if fault == Copied {
+		again := inner.Clone(inner.Context())
+		again.RequestURI, again.RemoteAddr = inner.RequestURI, l.from
+		again.Body = io.NopCloser(bytes.NewReader(body))
+		l.net.tasks.Go(func() {
+			time.Sleep(l.net.Lateness)
+			l.net.mu.Lock()
+			h := l.net.hosts[addr] // whoever is there by then
+			l.net.mu.Unlock()
+			if h != nil {
+				h.ServeHTTP(httptest.NewRecorder(), again)
+			}
+		})
+	}
 	answer := make(chan *http.Response, 1)
 	l.net.tasks.Go(func() {
 		if fault == Late {
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -42,11 +42,36 @@
 	down    bool
 	busy    bool
 	refuse  map[string]bool
+	served  map[string]int
+	lag     int // changes that watches do not show yet
+	keep    int // changes that are kept
 }
 
 // NewState makes an empty store.
 func NewState() *State {
-	return &State{TxnOps: 12, keys: map[string]entry{}, leases: map[uint64]*lease{}, changed: make(chan struct{}), refuse: map[string]bool{}}
+	return &State{TxnOps: 12, keys: map[string]entry{}, leases: map[uint64]*lease{}, changed: make(chan struct{}), refuse: map[string]bool{}, served: map[string]int{}, keep: 10000}
+}
+
+// Lag makes watches miss the newest changes.
+func (s *State) Lag(changes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lag = changes
+	s.wake()
+}
+
+// Keep sets how many changes watches can ask for.
+func (s *State) Keep(changes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.keep = changes
+}
+
+// Requests returns how many requests came under a path.
+func (s *State) Requests(path string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.served[path]
 }
 
 // Down starts or ends an outage. Leases do not end during it, and every one
@@ -145,6 +170,9 @@
 
 // ServeHTTP implements the service's protocol.
 func (s *State) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.served[r.URL.Path]++
+	s.mu.Unlock()
 	if r.URL.Path == "/watch" {
 		s.watch(w, r)
 		return
@@ -270,23 +298,38 @@
 	send(w, http.StatusOK, map[string]uint64{"tide": s.rev})
 }
 
+// watch answers with changes. In an outage new watches are refused, and open ones
+// wait; what they say when their time runs out is as old as the outage.
 func (s *State) watch(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
 	wait, _ := strconv.Atoi(q.Get("waitMs"))
 	deadline := time.After(time.Duration(wait) * time.Millisecond)
-	timeout := false
+	s.mu.Lock()
+	refused := s.down || s.refuse[r.RemoteAddr]
+	compacted := len(s.log) > s.keep && after < s.log[len(s.log)-s.keep].Mark-1
+	s.mu.Unlock()
+	switch {
+	case refused:
+		send(w, http.StatusServiceUnavailable, nil)
+		return
+	case compacted:
+		send(w, http.StatusGone, nil)
+		return
+	}
+	timeout := wait == 0
 	for {
 		s.mu.Lock()
-		out := []change{}
-		if !s.down && !s.refuse[r.RemoteAddr] {
-			for _, c := range s.log {
+		out, rev := []change{}, after
+		if shown := s.log[:max(0, len(s.log)-s.lag)]; !s.down && !s.refuse[r.RemoteAddr] {
+			for _, c := range shown {
 				if c.Mark > after && strings.HasPrefix(c.Set+c.Remove, q.Get("prefix")) {
 					out = append(out, c)
 				}
+				rev = max(rev, c.Mark)
 			}
 		}
-		rev, changed := max(after, s.rev), s.changed
+		changed := s.changed
 		s.mu.Unlock()
 		if len(out) > 0 || timeout {
 			send(w, http.StatusOK, map[string]any{"tide": rev, "log": out})
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -45,7 +45,25 @@
 	nudge    chan struct{}
 }
 
+// keepLease ends the tasks with the lease, also while a report waits in vain for
+// its answer.
+func (w *Worker) keepLease(ctx context.Context) {
+	for ctx.Err() == nil {
+		w.mu.Lock()
+		if !w.dead && !w.hung {
+			w.expire()
+		}
+		left := time.Until(w.answered.Add(w.pace.Lease)) + time.Millisecond
+		w.mu.Unlock()
+		select {
+		case <-ctx.Done():
+		case <-time.After(max(left, time.Millisecond)):
+		}
+	}
+}
+
 func (w *Worker) run(ctx context.Context) {
+	w.world.alive.Go(func() { w.keepLease(ctx) })
 	client := &http.Client{Transport: w.world.Net.From(w.rep.Machine), Timeout: 4 * time.Second}
 	at := 0
 	for ctx.Err() == nil {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -349,3 +349,13 @@
 	sort.Strings(parts)
 	return strings.Join(parts, "; ")
 }
+
+// ZoneOf returns the zone of a machine, and nothing for other hosts.
+func (w *World) ZoneOf(host string) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if m := w.machines[host]; m != nil {
+		return m.zone
+	}
+	return ""
+}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -274,8 +274,25 @@
 	return err
 }
 
+// noKey is a key that is never written: the answer that it does not exist tells
+// the revision.
+const noKey = "nothing"
+
+// Revision returns a revision that is no older than the call.
+func (c *Client) Revision(ctx context.Context) (uint64, error) {
+	var out struct {
+		Tide uint64 `json:"tide"`
+	}
+	status, err := c.do(ctx, c.wait, http.MethodGet, "/keys/"+noKey, nil, &out)
+	if err == nil && status != http.StatusNotFound {
+		err = unexpected(status, "revision")
+	}
+	return out.Tide, err
+}
+
 // Watch returns the changes under a prefix after a revision. An empty result
-// means that there was none while it waited.
+// means that there was none while it waited, or that the service cannot tell: only
+// a revision that has reached one asked for with Revision proves anything.
 func (c *Client) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (revision uint64, changes []Change, err error) {
 	path := fmt.Sprintf("/watch?prefix=%s&after=%d&waitMs=%d", url.QueryEscape(prefix), after, wait.Milliseconds())
 	var out struct {
