Services start where their image is, in the place of batch work if need be

Ruled out: placing, writes, orders (0.1 s in all). Machines keep images as their cache holds them; images that are being fetched share the rate.

--- a/internal/control/model.go
+++ b/internal/control/model.go
@@ -3,6 +3,7 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"ospreyslip/internal/jobs"
@@ -163,7 +164,8 @@
 	room                placement.Amount   // taken by assignments
 	offer               *placement.Machine // as placement sees it
 	avoid               map[string]time.Time
-	dead                bool // the verdict is out
+	images              []image // that it has, the one used last at the end
+	dead                bool    // the verdict is out
 	draining            bool
 	noticeUntil         time.Time
 	known               time.Time // when this leader learnt of it
@@ -179,10 +181,35 @@
 	unheeded            int               // answers in a row of which nothing came
 }
 
+// image is one that a machine keeps.
+type image struct {
+	name string
+	gb   float64
+}
+
+// used notes that a machine has an image. It keeps those used last, as far as
+// there is room for them.
+func (m *machine) used(s *jobs.Spec, cacheGB float64) {
+	m.images = slices.DeleteFunc(m.images, func(i image) bool { return i.name == s.Image })
+	m.images = append(m.images, image{s.Image, s.ImageGB})
+	m.offer.Images[s.Image] = true
+	delete(m.offer.Fetching, s.Image)
+	held := 0.0
+	for i := len(m.images) - 1; i >= 0; i-- {
+		if held += m.images[i].gb; held > cacheGB && cacheGB > 0 {
+			for _, old := range m.images[:i+1] {
+				delete(m.offer.Images, old.name)
+			}
+			m.images = m.images[i+1:]
+			return
+		}
+	}
+}
+
 func newMachine(id string, now time.Time) *machine {
 	return &machine{
 		id: id, known: now, idleSince: now,
 		assigned: map[uint64]*assignment{}, avoid: map[string]time.Time{}, failures: map[string]bool{}, ordered: map[uint64]uint64{},
-		offer: &placement.Machine{ID: id, Images: map[string]bool{}, Avoid: map[string]bool{}},
+		offer: &placement.Machine{ID: id, Images: map[string]bool{}, Fetching: map[string]float64{}, Avoid: map[string]bool{}},
 	}
 }
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -113,6 +113,12 @@
 	for z, n := range j.zones {
 		p.Zones[z] = n
 	}
+	for _, o := range l.Settings.Deployment.Objectives {
+		if o.Kind == "wait" && o.Class == j.spec.Class {
+			// Until the order is out and the report back.
+			p.StartS = o.WithinS - float64(wall-j.atMs)/1000 - l.Derived.Beat.Seconds()/4
+		}
+	}
 	if now.Sub(j.served) > l.Derived.BeginBy {
 		p.Overdue = min(j.waiting, int(math.Ceil(overdueShare*float64(j.spec.Tasks))))
 	}
@@ -274,5 +280,8 @@
 	m.assigned[a.attempt] = a
 	j.tasks[n] = a
 	l.book.begins = append(l.book.begins, a)
+	if !m.offer.Images[j.spec.Image] {
+		m.offer.Fetching[j.spec.Image] = j.spec.ImageGB
+	}
 	return a
 }
--- a/internal/control/tasks.go
+++ b/internal/control/tasks.go
@@ -2,6 +2,8 @@
 
 import (
 	"log/slog"
+	"maps"
+	"slices"
 	"time"
 
 	"ospreyslip/internal/jobs"
@@ -44,6 +46,14 @@
 	l.shelves.Put(m.offer)
 }
 
+// cacheGB is how much a machine keeps of images; 0 if that is not known.
+func (l *Leader) cacheGB(m *machine) float64 {
+	if t := l.machineType(m.typ); t != nil {
+		return t.CacheGB
+	}
+	return 0
+}
+
 // over ends an assignment whose task is certainly off its machine. It is
 // forgotten, and a task that is not done pending again, once that is durable:
 // until then a new leader would still find it there.
@@ -68,6 +78,11 @@
 			l.chunkDirty(j, a.n/l.Derived.ChunkTasks)
 		}
 	}
+	if !m.offer.Images[j.spec.Image] && !slices.ContainsFunc(slices.Collect(maps.Values(m.assigned)), func(b *assignment) bool {
+		return b.outcome == open && b.job.spec.Image == j.spec.Image
+	}) {
+		delete(m.offer.Fetching, j.spec.Image) // nobody waits for it any more
+	}
 	l.book.end(a)
 	l.show(j)
 	l.replan = true
@@ -173,7 +188,7 @@
 				if a.seen == workers.Fetching || !a.restored {
 					a.since = now
 				}
-				m.offer.Images[a.job.spec.Image] = true
+				m.used(a.job.spec, l.cacheGB(m))
 			}
 			l.see(a, t.State)
 			l.show(a.job)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -40,6 +40,7 @@
 	Overdue    int            // of these, how many go first because it got nothing for too long
 	Zones      map[string]int // tasks that are, or may be, in a zone
 	Guaranteed bool           // within its team's guarantee
+	StartS     float64        // seconds left to its aim to start; 0 without one
 }
 
 // Input is the whole picture. Plan uses up all but the shelves.
@@ -191,6 +192,14 @@
 		if m == nil {
 			break
 		}
+		// A service whose image would come too late starts sooner where the image
+		// is, even if something has to leave for that.
+		if f := m.fetch(j.Spec) * slowFetch; j.Spec.Shape == jobs.Service && f > 0 && f > j.StartS && j.StartS > 0 &&
+			in.makeRoom(j, 1, out, func(m *Machine) bool { return m.Images[j.Spec.Image] }) > 0 {
+			want--
+			j.Waiting--
+			continue
+		}
 		in.put(j, m)
 		out.Assign = append(out.Assign, Assignment{j, m, t.overdue})
 		want--
@@ -200,7 +209,7 @@
 	if left <= 0 {
 		return
 	}
-	made := in.makeRoom(j, left, out)
+	made := in.makeRoom(j, left, out, nil)
 	left -= made
 	j.Waiting -= made
 	if t.overdue {
@@ -301,12 +310,19 @@
 	return best
 }
 
-// fetch is how long a machine needs to get a job's image, in seconds.
+// fetch is how long a machine needs to get a job's image, in seconds. Images that
+// are fetched at the same time share its rate.
 func (m *Machine) fetch(s *jobs.Spec) float64 {
 	if m.Images[s.Image] {
 		return 0
 	}
-	return s.ImageGB / max(m.FetchGBPS, slack)
+	gb := s.ImageGB
+	for image, size := range m.Fetching {
+		if image != s.Image {
+			gb += size
+		}
+	}
+	return gb / max(m.FetchGBPS, slack)
 }
 
 // leftover is the share of a machine that stays free.
@@ -360,9 +376,14 @@
 	return used.CPUs > t.CPUs+slack || used.GPUs > t.GPUs+slack
 }
 
-// makeRoom stops tasks for up to n tasks of a job. Room that is being made is
-// set aside, so that the next plan does not stop more for the same need.
-func (in *Input) makeRoom(j *Job, n int, out *Output) (made int) {
+// slowFetch is how much longer than usual a fetch may take, from the protocol.
+const slowFetch = 4.0 / 3
+
+// makeRoom stops tasks for up to n tasks of a job, on machines that will do; nil
+// means all. What has to save first does not leave for a start that is urgent.
+// Room that is being made is set aside, so that the next plan does not stop more
+// for the same need.
+func (in *Input) makeRoom(j *Job, n int, out *Output, will func(*Machine) bool) (made int) {
 	if !in.mayMakeRoom(j) {
 		return 0
 	}
@@ -373,11 +394,14 @@
 			continue
 		}
 		s.all(func(m *Machine) {
+			if will != nil && !will(m) {
+				return
+			}
 			if in.Fill != nil && !in.filled[m] {
 				in.filled[m] = true
 				in.Fill(m)
 			}
-			if w, ok := in.victims(j, m, need); ok {
+			if w, ok := in.victims(j, m, need, will != nil); ok {
 				ways = append(ways, w)
 			}
 		})
@@ -400,7 +424,7 @@
 		in.setFree(m, Amount{})
 		in.counted(j, m)
 		made++
-		if next, ok := in.victims(j, m, need); ok {
+		if next, ok := in.victims(j, m, need, will != nil); ok {
 			ways[0] = next
 			heap.Fix(&ways, 0)
 		} else {
@@ -441,7 +465,7 @@
 }
 
 // victims returns the cheapest tasks to stop on a machine.
-func (in *Input) victims(j *Job, m *Machine, need Amount) (w sacrifice, ok bool) {
+func (in *Input) victims(j *Job, m *Machine, need Amount, atOnce bool) (w sacrifice, ok bool) {
 	if !m.open(j) {
 		return w, false
 	}
@@ -452,7 +476,7 @@
 	}
 	var order []*Placed
 	for _, v := range m.Tasks {
-		if mayStop(in, j, v) {
+		if mayStop(in, j, v) && !(atOnce && v.Job.Spec.CheckpntS > 0) {
 			order = append(order, v)
 		}
 	}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -66,6 +66,16 @@
 			in.Machines = []*Machine{slow, box("a2", 4)}
 			in.Jobs = []*Job{job("j-1", 1, 2, prod)}
 		}, "j-1/0>a2"},
+		{"or, if it would come too late, in the place of lower priority", func(in *picture) {
+			has := box("a2", 4)
+			has.Images["img"] = true
+			low := job("j-2", 1, 4, nil)
+			running(has, low, 0, 5)
+			in.Machines = []*Machine{box("a1", 4), has}
+			late, early := job("j-1", 1, 2, prod), job("j-3", 1, 2, prod)
+			late.StartS, early.StartS = 1, 5
+			in.Jobs = []*Job{late, early}
+		}, "stop j-2/0@a2 j-3/0>a1"},
 		{"spread: half in one zone, rounded up", func(in *picture) {
 			in.Machines = []*Machine{box("a1", 4), box("b1", 4)}
 			in.Jobs = []*Job{job("j-1", 5, 1, func(s *jobs.Spec) { s.Spread = true })}
--- a/internal/placement/shelves.go
+++ b/internal/placement/shelves.go
@@ -13,8 +13,9 @@
 	Slow           bool // not for batch tasks
 	Total, Free    Amount
 	FetchGBPS      float64
-	Images         map[string]bool
-	Avoid          map[string]bool // jobs that should not come back
+	Images         map[string]bool    // that it has
+	Fetching       map[string]float64 // that it is getting, and their size in GB
+	Avoid          map[string]bool    // jobs that should not come back
 
 	// Filled only where room has to be made.
 	Freeing Amount // of tasks told to stop
