A few requests for machines at a time; no renting in dark zones; backlog counts

Seen in a log of needs: 600 tasks in need, requests for one or two. Ruled out: estimates, flow. Also: machines rented in a zone that is cut off were paid for and idle; work that had waited for longer than the flow's window counted no more; a large zone got one verdict a tick.

--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -139,7 +139,12 @@
 	l.rent(ctx, now)
 }
 
+// rent asks for machines, with a few requests at a time: more would only wait for
+// each other at the cloud, and what they ask for be out of date when it comes.
 func (l *Leader) rent(ctx context.Context, now time.Time) {
+	if l.chartersOut >= l.Derived.ChartersOut {
+		return
+	}
 	have := map[fleet.Kind]int{}
 	coming := map[fleet.Kind]int{}
 	for _, m := range l.machines {
@@ -157,14 +162,17 @@
 	}
 	needs := l.needs(now)
 	plan := fleet.Plan(needs, coming, fleet.Market{
-		Types:   l.Catalog(),
-		Have:    have,
-		Refused: func(k fleet.Kind) bool { return now.Before(l.refused[k].until) },
+		Types: l.Catalog(),
+		Have:  have,
+		Refused: func(k fleet.Kind) bool {
+			// What boots in a zone that is cut off is paid for and cannot be used.
+			return now.Before(l.refused[k].until) || l.watch.ZoneDark(k.Zone, now, 2*l.Derived.Cancel)
+		},
 	})
 	for _, k := range fleet.Sorted(plan) {
-		// The kinds take turns at the cloud: a few requests each at a time.
-		for n := min(plan[k], rentAtOnce*fleet.MaxRent); n > 0; n -= fleet.MaxRent {
+		for n := plan[k]; n > 0 && l.chartersOut < l.Derived.ChartersOut; n -= fleet.MaxRent {
 			l.charters++
+			l.chartersOut++
 			r := fleet.Rental{Name: fmt.Sprintf("r-%d-%d", l.term.Token, l.charters), Kind: k, Count: min(n, fleet.MaxRent)}
 			l.renting[k] += r.Count
 			go l.charter(ctx, r)
@@ -225,11 +233,18 @@
 	l.flowAt = now
 }
 
-// shortfall is how many CPUs are missing for the flow of batch work that there
-// has been lately, next to the services.
+// shortfall is how many CPUs are missing, next to the services, for the flow of
+// batch work that there has been lately and for working off what there is in the
+// same time.
 func (l *Leader) shortfall(now time.Time) float64 {
 	l.decayFlow(now)
-	missing := l.flow
+	work := 0.0
+	for _, j := range l.jobs {
+		if !j.over() && j.spec.Shape == jobs.Batch {
+			work += float64(j.spec.Tasks-j.doneCount) * l.runS(j.spec) * j.spec.CPUs
+		}
+	}
+	missing := max(l.flow, work/l.flowOver().Seconds())
 	for _, m := range l.machines {
 		if t := l.machineType(m.typ); t != nil && m.phase != returning && !m.dead && !m.draining {
 			missing -= t.CPUs
@@ -322,6 +337,7 @@
 		return ids, err
 	}, backoff.WithBackOff(l.backOff()), backoff.WithMaxElapsedTime(0))
 	l.post(ctx, func(now time.Time) {
+		l.chartersOut--
 		l.renting[r.Kind] -= r.Count
 		if err != nil || len(ids) < r.Count {
 			ref := l.refused[r.Kind]
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -167,17 +167,18 @@
 	ordersOut int
 	callsOut  int
 
-	shownAt    time.Time
-	fleetAt    time.Time
-	fleetTook  time.Duration
-	charters   int
-	renting    map[fleet.Kind]int
-	refused    map[fleet.Kind]refusal
-	listSyncAt time.Time
-	flow       float64 // batch work that arrives, in CPUs
-	flowAt     time.Time
-	bias       map[string]float64   // by class, how far estimates are off, as a logarithm
-	gone       map[string]time.Time // given back, though perhaps still listed
+	shownAt     time.Time
+	fleetAt     time.Time
+	fleetTook   time.Duration
+	charters    int // requests made
+	chartersOut int
+	renting     map[fleet.Kind]int
+	refused     map[fleet.Kind]refusal
+	listSyncAt  time.Time
+	flow        float64 // batch work that arrives, in CPUs
+	flowAt      time.Time
+	bias        map[string]float64   // by class, how far estimates are off, as a logarithm
+	gone        map[string]time.Time // given back, though perhaps still listed
 }
 
 type refusal struct {
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -115,8 +115,12 @@
 	}
 	for _, o := range l.Settings.Deployment.Objectives {
 		if o.Kind == "wait" && o.Class == j.spec.Class {
-			// Until the order is out and the report back.
-			p.StartS = o.WithinS - float64(wall-j.atMs)/1000 - l.Derived.Beat.Seconds()/4
+			// Until the order is out and the report back. What has run before
+			// is wanted back as soon as it was wanted at first.
+			p.StartS = o.WithinS - l.Derived.Beat.Seconds()/4
+			if len(j.again) == 0 {
+				p.StartS -= float64(wall-j.atMs) / 1000
+			}
 		}
 	}
 	if now.Sub(j.served) > l.Derived.BeginBy {
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -141,14 +141,14 @@
 	return max(n, 1)
 }
 
-// Sorted returns the kinds in a fixed order.
+// Sorted returns the kinds in a fixed order, those of which most are wanted first.
 func Sorted(rent map[Kind]int) []Kind {
 	kinds := make([]Kind, 0, len(rent))
 	for k := range rent {
 		kinds = append(kinds, k)
 	}
 	slices.SortFunc(kinds, func(a, b Kind) int {
-		return cmp.Or(cmp.Compare(a.Type, b.Type), cmp.Compare(a.Zone, b.Zone), first(a.Spot, b.Spot))
+		return cmp.Or(cmp.Compare(rent[b], rent[a]), cmp.Compare(a.Type, b.Type), cmp.Compare(a.Zone, b.Zone), first(a.Spot, b.Spot))
 	})
 	return kinds
 }
--- a/internal/liveness/liveness.go
+++ b/internal/liveness/liveness.go
@@ -14,7 +14,7 @@
 	SilentFor time.Duration // unheard for so long, a machine looks dead
 	LeaseOver time.Duration // by then a worker has ended its tasks by itself
 	HoldGrace time.Duration // how long one floor holds all verdicts
-	Gap       time.Duration // between two verdicts in a zone of up to ZoneSize machines, less in larger ones
+	Gap       time.Duration // between two verdicts in a zone of up to ZoneSize machines; larger ones have more in it
 	ZoneSize  int
 	// A machine whose report is overdue, or of whose zone nobody is heard, is
 	// called before it has been silent for as long as SilentFor.
@@ -71,11 +71,12 @@
 	disrupted bool
 	lastHeard time.Time // the last report of any machine
 	zoneHeard map[string]time.Time
+	darkSince map[string]time.Time // zones of which nobody is heard
 }
 
 // New makes an empty picture.
 func New(cfg Config) *Watch {
-	return &Watch{cfg: cfg, machines: map[string]*machine{}, pacers: map[string]*Pacer{}, zoneHeard: map[string]time.Time{}}
+	return &Watch{cfg: cfg, machines: map[string]*machine{}, pacers: map[string]*Pacer{}, zoneHeard: map[string]time.Time{}, darkSince: map[string]time.Time{}}
 }
 
 // Restore adds a machine that an earlier leader knew. It is unsynced: until it
@@ -104,6 +105,7 @@
 	}
 	m.zone, m.heard, m.known, m.calls = zone, now, c, 0
 	w.lastHeard, w.zoneHeard[zone] = now, now
+	delete(w.darkSince, zone)
 	m.synced, m.dawdles, m.suspect = true, false, false
 	if !m.deaf {
 		m.judged, m.confirmed = false, ""
@@ -201,6 +203,13 @@
 	return w.cfg.Dark > 0 && machines >= darkLeast && !heard.IsZero() && now.Sub(heard) > w.cfg.Dark
 }
 
+// ZoneDark tells whether a zone fell dark within the last while and nobody in it
+// has been heard since, even if all its machines were given back.
+func (w *Watch) ZoneDark(zone string, now time.Time, while time.Duration) bool {
+	since, dark := w.darkSince[zone]
+	return dark && now.Sub(since) < while
+}
+
 // missed tells whether a report that should have come did not. That alone says
 // little; the machine is called.
 func (w *Watch) missed(m *machine, zone int, now time.Time) bool {
@@ -213,7 +222,7 @@
 	if !w.disrupted && (w.allSilent(now) || w.dark(len(w.machines), w.lastHeard, now)) {
 		w.disrupted = true
 		for _, p := range w.pacers {
-			p.Swap(0, now)
+			p.Swap(1, 0, now)
 		}
 	}
 	held := false
@@ -222,6 +231,11 @@
 	for _, m := range w.machines {
 		zones[m.zone]++
 	}
+	for zone, machines := range zones {
+		if _, known := w.darkSince[zone]; !known && w.dark(machines, w.zoneHeard[zone], now) {
+			w.darkSince[zone] = now
+		}
+	}
 	for id, m := range w.machines {
 		m.suspect = m.suspect || w.missed(m, zones[m.zone], now)
 		if !m.judged && !m.calling && w.looksDead(m, now) {
@@ -311,19 +325,16 @@
 	}
 }
 
-// gap is the time between two verdicts in a zone. The share of a zone that may
-// be given up in a given time is much the same, however large it is.
-func (w *Watch) gap(machines int) time.Duration {
-	return w.cfg.Gap / time.Duration(max(1, machines/max(1, w.cfg.ZoneSize)))
-}
-
+// pacer returns a zone's pacer. The share of a zone that may be given up in a
+// given time is much the same, however large it is.
 func (w *Watch) pacer(zone string, machines int, now time.Time) *Pacer {
+	each := max(1, machines/max(1, w.cfg.ZoneSize))
 	p := w.pacers[zone]
 	if p == nil {
-		p = NewPacer(w.gap(machines))
+		p = NewPacer(each, w.cfg.Gap)
 		w.pacers[zone] = p
 	}
-	p.Swap(w.gap(machines), now)
+	p.Swap(each, w.cfg.Gap, now)
 	return p
 }
 
@@ -351,6 +362,6 @@
 		m.heard, m.confirmed, m.suspect = now, "", false
 	}
 	for _, p := range w.pacers {
-		p.Swap(w.cfg.Gap, now) // and to the pace of its size with the next verdict
+		p.Swap(1, w.cfg.Gap, now) // and to the pace of its size with the next verdict
 	}
 }
--- a/internal/liveness/pacer.go
+++ b/internal/liveness/pacer.go
@@ -6,31 +6,37 @@
 	"golang.org/x/time/rate"
 )
 
-// Pacer lets through one verdict per gap, never two at once.
+// Pacer lets through a number of verdicts per gap, never more at once than come
+// due in a part of it.
 type Pacer struct{ limiter *rate.Limiter }
 
-// NewPacer makes a pacer that is ready for its first verdict.
-func NewPacer(gap time.Duration) *Pacer {
-	return &Pacer{rate.NewLimiter(rate.Every(gap), 1)}
+// burstShare is the part of a gap's verdicts that may come at once: decisions
+// are made a few times in a gap, and a large zone has many in each.
+const burstShare = 1.0 / 3
+
+func limiter(each int, gap time.Duration) *rate.Limiter {
+	if gap <= 0 {
+		return rate.NewLimiter(0, 1)
+	}
+	return rate.NewLimiter(rate.Limit(float64(each)/gap.Seconds()), max(1, int(burstShare*float64(each))))
 }
 
+// NewPacer makes a pacer that is ready for its first verdicts.
+func NewPacer(each int, gap time.Duration) *Pacer { return &Pacer{limiter(each, gap)} }
+
 // Allow takes the turn for one verdict, if there is one.
 func (p *Pacer) Allow(now time.Time) bool { return p.limiter.AllowN(now, 1) }
 
-// Swap changes the gap; 0 stops all verdicts. A pacer that was saturated hands
-// over an empty turn: a full one would let a burst through at each change.
-func (p *Pacer) Swap(gap time.Duration, now time.Time) {
-	limit := rate.Limit(0)
-	if gap > 0 {
-		limit = rate.Every(gap)
-	}
-	if p.limiter.Limit() == limit {
+// Swap changes the pace; no gap stops all verdicts. A pacer that was saturated
+// hands over no turns: full ones would let a burst through at each change.
+func (p *Pacer) Swap(each int, gap time.Duration, now time.Time) {
+	next := limiter(each, gap)
+	if p.limiter.Limit() == next.Limit() {
 		return
 	}
 	saturated := !p.limiter.AllowN(now, 1)
-	next := rate.NewLimiter(limit, 1)
-	if saturated || gap == 0 {
-		next.AllowN(now, 1)
+	if saturated || gap <= 0 {
+		next.AllowN(now, next.Burst())
 	}
 	p.limiter = next
 }
--- a/internal/liveness/trace_test.go
+++ b/internal/liveness/trace_test.go
@@ -100,6 +100,11 @@
 			if w.Disrupted() {
 				got = append(got, "disrupted")
 			}
+			for _, zone := range []string{"a", "b"} {
+				if w.ZoneDark(zone, now, 100*time.Second) {
+					got = append(got, "zone "+zone+" is dark")
+				}
+			}
 			if d := cmp.Diff(strings.TrimSpace(want), strings.Join(got, "; ")); d != "" {
 				t.Errorf("%s:%d (-want +got):\n%s", file, n, d)
 			}
@@ -120,21 +125,49 @@
 // A pacer that is swapped while saturated must not let a burst through.
 func TestPacerSwap(t *testing.T) {
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	p := NewPacer(time.Second)
+	p := NewPacer(1, time.Second)
 	if !p.Allow(now) || p.Allow(now) {
 		t.Fatal("a new pacer gives one turn")
 	}
-	p.Swap(2*time.Second, now)
+	p.Swap(1, 2*time.Second, now)
 	if p.Allow(now) {
 		t.Error("saturated before, so the new one starts empty")
 	}
 	now = now.Add(2 * time.Second)
-	p.Swap(time.Second, now)
+	p.Swap(1, time.Second, now)
 	if !p.Allow(now) || p.Allow(now) {
 		t.Error("not saturated before, so the new one gives its turn, once")
 	}
-	p.Swap(0, now)
+	p.Swap(1, 0, now)
 	if p.Allow(now.Add(time.Hour)) {
 		t.Error("stopped")
 	}
 }
+
+// A large zone is given up no faster, as a share of it, than a small one.
+func TestPaceFollowsTheZone(t *testing.T) {
+	for _, size := range []int{10, 100, 700} {
+		now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		w := New(Config{SilentFor: 3 * time.Second, LeaseOver: 10 * time.Second, HoldGrace: 4 * time.Second, Gap: time.Second, ZoneSize: 10})
+		for i := range size {
+			w.Heard(fmt.Sprint("m-", i), "a", Counter{1, 1}, now)
+		}
+		judged, most := 0, 0
+		for step := range 60 {
+			at := now.Add(4*time.Second + time.Duration(step)*100*time.Millisecond)
+			w.Heard("m-b", "b", Counter{1, uint64(step + 1)}, at)
+			calls, verdicts := w.Tick(at, 2*size)
+			for _, c := range calls {
+				w.CallDone(c, false, Counter{}, at)
+			}
+			judged += len(verdicts)
+			most = max(most, len(verdicts))
+		}
+		if share := float64(judged) / float64(size); share < 0.5 || share > 0.7 {
+			t.Errorf("%d machines: %d judged in six seconds", size, judged)
+		}
+		if most > size/20+1 {
+			t.Errorf("%d machines: %d judged at once", size, most)
+		}
+	}
+}
--- a/internal/settings/derived.go
+++ b/internal/settings/derived.go
@@ -30,20 +30,21 @@
 	HoldGrace  time.Duration // how long one floor can hold all verdicts
 	VerdictGap time.Duration // least time between two verdicts in a zone
 
-	TermLease  time.Duration // the term's lease in the state service
-	TermRenew  time.Duration // how often it is renewed
-	TermSafe   time.Duration // how long after a renewal was sent the term holds
-	WatchStale time.Duration // a picture of the jobs older than this serves no worker
-	WatchWait  time.Duration // how long one watch waits
-	StateWait  time.Duration // how long one request to the state service may take
-	UserWait   time.Duration // how long one user's request may take in all
-	DoubtFor   time.Duration // an order without an answer is cleared up after so long
-	CloudWait  time.Duration
-	ListEvery  time.Duration
-	ListLag    time.Duration
-	FlushGap   time.Duration // least time between two transactions of the leader
-	PollGap    time.Duration // least time between two reads for users' polls
-	BeginBy    time.Duration // a job that got nothing for so long goes first
+	TermLease   time.Duration // the term's lease in the state service
+	TermRenew   time.Duration // how often it is renewed
+	TermSafe    time.Duration // how long after a renewal was sent the term holds
+	WatchStale  time.Duration // a picture of the jobs older than this serves no worker
+	WatchWait   time.Duration // how long one watch waits
+	StateWait   time.Duration // how long one request to the state service may take
+	UserWait    time.Duration // how long one user's request may take in all
+	DoubtFor    time.Duration // an order without an answer is cleared up after so long
+	CloudWait   time.Duration
+	ListEvery   time.Duration
+	ChartersOut int // requests for machines on their way at a time
+	ListLag     time.Duration
+	FlushGap    time.Duration // least time between two transactions of the leader
+	PollGap     time.Duration // least time between two reads for users' polls
+	BeginBy     time.Duration // a job that got nothing for so long goes first
 
 	TxnOps      int
 	TxnGuards   int
@@ -102,14 +103,15 @@
 		TermSafe:  time.Duration(float64(term)*(1-clockDrift)) - term/20,
 		// A cancellation that the leader has not seen may outlast its own
 		// picture by a whole worker lease; half of the rest is kept in hand.
-		WatchStale: (cancel - lease) / 2,
-		WatchWait:  (cancel - lease) / 8,
-		StateWait:  term / 2,
-		UserWait:   4 * time.Second * 2 / 5, // polls wait 2 s, submissions 5 s
-		DoubtFor:   report,
-		CloudWait:  2 * lag,
-		ListEvery:  lag / 2,
-		ListLag:    lag,
+		WatchStale:  (cancel - lease) / 2,
+		WatchWait:   (cancel - lease) / 8,
+		StateWait:   term / 2,
+		UserWait:    4 * time.Second * 2 / 5, // polls wait 2 s, submissions 5 s
+		DoubtFor:    report,
+		CloudWait:   2 * lag,
+		ListEvery:   lag / 2,
+		ChartersOut: max(2, int(d.Cloud.RPS*beat.Seconds()/2)),
+		ListLag:     lag,
 
 		// Transactions in a row would spend the write rate on small ones.
 		FlushGap: seconds(flushWrites / d.State.WriteRPS),
