Machines go back in one request at a time, with a budget of its own

Cause: a zone that is cut off loses 20 machines a second; each tick sent a release of its own, which waited behind rentals and lists for its turn at the cloud.

--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -370,28 +370,37 @@
 }
 
 // release gives machines back. When the cloud has answered, all that was on
-// them is gone, whatever state they were in.
+// them is gone, whatever state they were in. There is one request at a time:
+// what comes meanwhile goes into the next, so that a zone that is lost does not
+// take more requests than the cloud answers.
 func (l *Leader) release(ctx context.Context, now time.Time, ms ...*machine) {
-	var ids []string
 	for _, m := range ms {
 		if m.phase == returning {
 			continue
 		}
 		m.phase = returning
 		l.shelves.Remove(m.offer)
-		ids = append(ids, m.id)
+		l.returns = append(l.returns, m.id)
 	}
-	for chunk := range slices.Chunk(ids, fleet.MaxRelease) {
-		slog.Info("machines going back", "machines", chunk, "term", l.token)
-		go func() {
-			_, err := backoff.Retry(ctx, func() (struct{}, error) { return struct{}{}, l.Cloud.Release(ctx, chunk) },
-				backoff.WithBackOff(l.backOff()), backoff.WithMaxElapsedTime(0))
-			if err != nil {
-				return // the term is over
-			}
-			l.post(ctx, func(now time.Time) { l.released(chunk, now) })
-		}()
+	if len(l.returns) == 0 || l.returning {
+		return
 	}
+	ids := slices.Clone(l.returns[:min(len(l.returns), fleet.MaxRelease)])
+	l.returns = slices.Delete(l.returns, 0, len(ids))
+	l.returning = true
+	slog.Info("machines going back", "machines", ids, "term", l.token)
+	go func() {
+		_, err := backoff.Retry(ctx, func() (struct{}, error) { return struct{}{}, l.Cloud.Release(ctx, ids) },
+			backoff.WithBackOff(l.backOff()), backoff.WithMaxElapsedTime(0))
+		if err != nil {
+			return // the term is over
+		}
+		l.post(ctx, func(now time.Time) {
+			l.returning = false
+			l.released(ids, now)
+			l.release(ctx, now)
+		})
+	}()
 }
 
 func (l *Leader) released(ids []string, now time.Time) {
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -172,6 +172,8 @@
 	fleetTook   time.Duration
 	charters    int // requests made
 	chartersOut int
+	returns     []string // machines to be given back
+	returning   bool     // a request is on its way
 	renting     map[fleet.Kind]int
 	refused     map[fleet.Kind]refusal
 	listSyncAt  time.Time
--- a/internal/fleet/cloud.go
+++ b/internal/fleet/cloud.go
@@ -64,22 +64,31 @@
 	http  *http.Client
 	wait  time.Duration
 	limit *rate.Limiter
+	back  *rate.Limiter // for giving back: it waits for nothing else
 }
 
+// backShare is the part of the requests that is kept for giving machines back.
+const backShare = 0.25
+
 // NewCloud makes a client that sends at most rps requests a second.
 func NewCloud(addr string, rt http.RoundTripper, wait time.Duration, rps float64) *Cloud {
 	return &Cloud{
 		base:  "http://" + addr,
 		wait:  wait,
-		limit: rate.NewLimiter(rate.Limit(rps), max(1, int(rps))),
+		limit: rate.NewLimiter(rate.Limit(rps*(1-backShare)), max(1, int(rps*(1-backShare)))),
+		back:  rate.NewLimiter(rate.Limit(rps*backShare), max(1, int(rps*backShare))),
 		http:  &http.Client{Transport: rt},
 	}
 }
 
 func (c *Cloud) do(ctx context.Context, method, path string, in, out any) error {
+	return c.within(ctx, c.limit, method, path, in, out)
+}
+
+func (c *Cloud) within(ctx context.Context, limit *rate.Limiter, method, path string, in, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, c.wait)
 	defer cancel()
-	if err := c.limit.Wait(ctx); err != nil {
+	if err := limit.Wait(ctx); err != nil {
 		return err
 	}
 	var body io.Reader
@@ -153,7 +162,7 @@
 // Release gives machines back. Without an error they, and all that ran on
 // them, are gone.
 func (c *Cloud) Release(ctx context.Context, ids []string) error {
-	return c.do(ctx, http.MethodPost, "/rentals/release", map[string][]string{"hosts": ids}, nil)
+	return c.within(ctx, c.back, http.MethodPost, "/rentals/release", map[string][]string{"hosts": ids}, nil)
 }
 
 // List returns the cloud's machines as they were some time ago, and how many
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -37,7 +37,7 @@
 const (
 	leaderWrites   = 0.64
 	leaderRequests = 0.5
-	cloudShare     = 0.64
+	cloudShare     = 0.8
 	memoryShare    = 0.7
 	// collectAt is by how many percent the heap may grow between two collections:
 	// memory, within its limit, is cheaper here than processor time.
