Slow machines by the odds of all their tasks against their siblings

Run times within a job vary by a factor of two; a task at twice the mean of the first siblings to be done, which are the quick ones, is nothing unusual. Its machine was emptied and given back, the task begun again. Ruled out: placing, fetches.

Now the odds of all tasks on a machine, over and running, against the middle one of their siblings, once half of these are done.

--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -179,7 +179,7 @@
 	listSyncAt  time.Time
 	flow        float64 // batch work that arrives, in CPUs
 	flowAt      time.Time
-	bias        map[string]float64   // by class, how far estimates are off, as a logarithm
+	runs        map[string]*runs     // by class
 	gone        map[string]time.Time // given back, though perhaps still listed
 }
 
@@ -197,7 +197,7 @@
 		Deps: d, term: t, token: t.Token, tokenMark: t.TokenMark,
 		reports: make(chan reportIn, 16), events: make(chan func(time.Time), 64), quit: make(chan struct{}),
 		jobs: map[string]*job{}, machines: map[string]*machine{}, used: map[string]placement.Amount{},
-		queued: map[*job]bool{}, renting: map[fleet.Kind]int{}, refused: map[fleet.Kind]refusal{}, gone: map[string]time.Time{}, bias: map[string]float64{},
+		queued: map[*job]bool{}, renting: map[fleet.Kind]int{}, refused: map[fleet.Kind]refusal{}, gone: map[string]time.Time{}, runs: map[string]*runs{},
 		attempts: t.Token << 24,
 		watch: liveness.New(liveness.Config{
 			SilentFor: d.Derived.SilentFor, LeaseOver: d.Derived.LeaseOver,
--- a/internal/control/model.go
+++ b/internal/control/model.go
@@ -32,9 +32,8 @@
 	zones     map[string]int
 	served    time.Time // when a task was last placed, or the job became known
 	covered   bool      // within its team's guarantee
-	ranS      float64   // what its completed tasks took in all
-	ranCount  int
-	errors    int // failures in a row, over all machines
+	tooks     []float64 // how long its completed tasks ran, as logarithms, in order
+	errors    int       // failures in a row, over all machines
 	notBefore time.Time
 	shown     jobs.Counts
 }
@@ -167,6 +166,7 @@
 	images              []image // that it has, the one used last at the end
 	dead                bool    // the verdict is out
 	draining            bool
+	slowness            float64 // odds that it is slow by the tasks that ran on it, as a logarithm
 	noticeUntil         time.Time
 	known               time.Time // when this leader learnt of it
 	idleSince           time.Time
--- a/internal/control/picture_test.go
+++ b/internal/control/picture_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -30,7 +31,7 @@
 		},
 		term: term.Term{Token: 5}, token: 5, attempts: 100, fresh: now,
 		jobs: map[string]*job{}, machines: map[string]*machine{}, used: map[string]placement.Amount{},
-		queued: map[*job]bool{}, bias: map[string]float64{}, gone: map[string]time.Time{}, refused: map[fleet.Kind]refusal{},
+		queued: map[*job]bool{}, runs: map[string]*runs{}, gone: map[string]time.Time{}, refused: map[fleet.Kind]refusal{},
 		watch: liveness.New(liveness.Config{SilentFor: time.Second, LeaseOver: time.Second, HoldGrace: time.Second, Gap: time.Second}),
 	}
 	j := newJob("j-1", &jobs.Spec{ID: "j-1", Team: "red", Shape: jobs.Batch, Priority: jobs.Standard, Tasks: 2, CPUs: 1}, 1, 0, now)
@@ -174,6 +175,56 @@
 	}
 }
 
+// Run times of one class vary: a task that runs for long says little of its
+// machine. Several on one machine say much, and so do tasks that are over.
+func TestSlowMachinesByOdds(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		before  []float64 // how many times their usual time tasks took on the machine
+		running []float64 // how many times their usual time tasks have been running
+		slow    bool
+	}{
+		{"one long task", nil, []float64{2.5, 0.5, 0.5, 0.1}, false},
+		{"one long task after quick ones", []float64{0.8, 1.2, 1}, []float64{4}, false},
+		{"all tasks long", nil, []float64{2.5, 2.5, 2.5, 2.5}, true},
+		{"tasks over, each late", []float64{3, 3.5, 4, 4}, []float64{1}, true},
+		{"late by a little", []float64{1.4, 1.5, 1.3}, []float64{1.2, 1.2}, false},
+		{"a task that never ends", nil, []float64{30}, true},
+		{"no task of the job is over elsewhere", nil, nil, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			l, m, _, now := bench()
+			l.runs["sums"] = &runs{variance: 0.25, tasks: 100, jobs: 100}
+			j := newJob("j-2", &jobs.Spec{ID: "j-2", Class: "sums", Shape: jobs.Batch, Tasks: 50, CPUs: 1, EstimateS: 10}, 1, 0, now)
+			l.jobs["j-2"] = j
+			for range 25 {
+				j.took(math.Log(10))
+			}
+			start := func(ran float64) *assignment {
+				a := l.assign(j, j.take(), m, now)
+				a.seen, a.since = workers.Running, now.Add(-time.Duration(ran*10*float64(time.Second)))
+				return a
+			}
+			for _, r := range tc.before {
+				l.ran(start(r), now)
+			}
+			clear(m.assigned)
+			for _, r := range tc.running {
+				start(r)
+			}
+			if tc.running == nil {
+				j.tooks = nil // the quick ones would be over first
+				start(9)
+				start(9)
+			}
+			l.findSlow(now)
+			if m.offer.Slow != tc.slow {
+				t.Errorf("slow: %v, odds %.1f", m.offer.Slow, l.slowOdds(m, now))
+			}
+		})
+	}
+}
+
 // Reports of a machine arrive, our answers do not: what they ask for never
 // happens. It must not look healthy for ever.
 func TestAnswersUnheeded(t *testing.T) {
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -53,14 +53,35 @@
 // runS is how long a task of the job will run: its owner's estimate, corrected
 // by how far the estimates of its class have been off lately.
 func (l *Leader) runS(s *jobs.Spec) float64 {
-	if bias, ok := l.bias[s.Class]; ok {
-		return s.EstimateS * math.Exp(bias)
+	if r := l.runs[s.Class]; r != nil {
+		return s.EstimateS * math.Exp(r.off)
 	}
 	return s.EstimateS
 }
 
-// biasWeight is what one completed task counts in the correction of estimates.
-const biasWeight = 0.05
+// runs is what was learnt of the run times of a class, as logarithms: how far
+// they are off the owners' estimates, and how much they vary within a job.
+type runs struct {
+	off, variance float64
+	tasks, jobs   float64
+}
+
+const (
+	taskWeight  = 0.05 // what one completed task counts in the end
+	jobWeight   = 0.2  // what one completed job counts
+	priorSpread = 0.7  // before anything is known, run times vary by a factor of two
+	mostTook    = 256  // run times that are kept of a job
+	leastTook   = 4    // run times of a job that tell how much they vary
+)
+
+func (l *Leader) runsOf(class string) *runs {
+	r := l.runs[class]
+	if r == nil {
+		r = &runs{variance: priorSpread * priorSpread}
+		l.runs[class] = r
+	}
+	return r
+}
 
 // ran learns from a completed task.
 func (l *Leader) ran(a *assignment, now time.Time) {
@@ -68,10 +89,50 @@
 	if a.since.Equal(a.born) || a.job.spec.EstimateS <= 0 || took <= 0 {
 		return // nobody saw it start
 	}
-	a.job.ranS += took
-	a.job.ranCount++
-	class, off := a.job.spec.Class, math.Log(took/a.job.spec.EstimateS)
-	l.bias[class] += biasWeight * (off - l.bias[class])
+	r, x := l.runsOf(a.job.spec.Class), math.Log(took)
+	if usual, known := a.job.usual(); known {
+		a.m.slowness = max(a.m.slowness+r.slowIfTook(x-usual), -float64(len(a.m.assigned)))
+	}
+	a.job.took(x)
+	r.tasks++
+	r.off += max(taskWeight, 1/r.tasks) * (x - math.Log(a.job.spec.EstimateS) - r.off)
+}
+
+// took notes how long a task of the job ran.
+func (j *job) took(x float64) {
+	if len(j.tooks) < mostTook {
+		i, _ := slices.BinarySearch(j.tooks, x)
+		j.tooks = slices.Insert(j.tooks, i, x)
+	}
+}
+
+// usual is how long a task of the job runs: the middle one of all that have
+// begun. Before half of them are done it is not known, as the quick ones are done
+// first: by them, the rest would all look slow.
+func (j *job) usual() (x float64, known bool) {
+	begun := len(j.tooks) + j.running
+	if len(j.tooks) < leastTook/2 || 2*len(j.tooks) < begun {
+		return 0, false
+	}
+	return j.tooks[min(begun/2, len(j.tooks)-1)], true
+}
+
+// vary learns from a completed job how much its tasks' run times vary.
+func (l *Leader) vary(j *job) {
+	n := float64(len(j.tooks))
+	if n < leastTook {
+		return
+	}
+	mean, sum := 0.0, 0.0
+	for _, x := range j.tooks {
+		mean += x / n
+	}
+	for _, x := range j.tooks {
+		sum += (x - mean) * (x - mean)
+	}
+	r := l.runsOf(j.spec.Class)
+	r.jobs++
+	r.variance += max(jobWeight, 1/(r.jobs+1)) * (sum/(n-1) - r.variance)
 }
 
 // overdueShare is the part of a job's tasks that go first when it has got nothing
@@ -217,55 +278,81 @@
 	})
 }
 
-// Ratios for finding slow machines. Tasks of one job take much the same time.
+// A machine is found slow by the odds: how much likelier the run times on it are
+// if it is slow than if it is not. Run times of one class vary by a factor of two
+// and more, so that one task that runs for long says little, and several on the
+// same machine say much.
 const (
-	slowRatio   = 2.0 // a task that runs so many times as long as its siblings shows a slow machine
-	slowSamples = 2   // siblings that must have completed before that is judged
+	slowFactor = 3.0    // how many times as long tasks run on the machines to be found
+	slowOdds   = 1000.0 // how much likelier it must be
 )
 
-// tooLong is how long a task may run before its machine looks slow. Without
-// siblings nothing is known: an estimate that is off by much would send the task
-// from machine to machine, each of them suspected in vain.
-func tooLong(j *job) float64 {
-	if j.ranCount < slowSamples {
-		return math.Inf(1)
-	}
-	return slowRatio * j.ranS / float64(j.ranCount)
+// slowIfTook is the logarithm of the odds that a task gives that took so much
+// longer than usual, as a logarithm too.
+func (r *runs) slowIfTook(x float64) float64 {
+	slow := math.Log(slowFactor)
+	return (2*x*slow - slow*slow) / (2 * r.spread() * r.spread())
 }
 
+// slowIfRuns is the same for a task that is still running.
+func (r *runs) slowIfRuns(x float64) float64 {
+	if x < 0 {
+		return 0
+	}
+	longer := func(x float64) float64 { return max(math.Erfc(x/r.spread()/math.Sqrt2), 1e-300) }
+	return math.Log(longer(x-math.Log(slowFactor))) - math.Log(longer(x))
+}
+
+// spread is never taken for nothing: a few tasks may agree by chance.
+func (r *runs) spread() float64 { return max(math.Sqrt(r.variance), priorSpread/4) }
+
 // findSlow finds machines that run tasks much slower than others, and takes the
 // batch work off them that would be over sooner elsewhere.
 func (l *Leader) findSlow(now time.Time) {
 	for _, m := range l.machines {
-		if m.phase != up || m.offer.Slow {
+		if m.phase != up || len(m.assigned) == 0 {
 			continue
 		}
-		for _, a := range m.assigned {
-			took := now.Sub(a.since).Seconds()
-			// What an earlier leader began has run for longer than we have seen.
-			if a.outcome == open && a.seen == workers.Running && a.job.spec.Shape == jobs.Batch && took > tooLong(a.job) {
-				slog.Info("machine slow", "machine", m.id, "term", l.token, "task", a.name(), "ranS", took)
-				m.offer.Slow = true
-				break
-			}
-		}
 		if !m.offer.Slow {
-			continue
+			odds := l.slowOdds(m, now)
+			if odds < math.Log(slowOdds) {
+				continue
+			}
+			slog.Info("machine slow", "machine", m.id, "term", l.token, "odds", math.Exp(odds))
+			m.offer.Slow = true
 		}
 		services := false
 		for _, a := range m.assigned {
 			if a.job.spec.Shape != jobs.Batch {
 				services = true
-			} else if took := now.Sub(a.since).Seconds(); !a.stop && (took < l.runS(a.job.spec) || took > slowRatio*l.runS(a.job.spec)) {
+				continue
+			}
+			took, runS := now.Sub(a.since).Seconds(), l.runS(a.job.spec)
+			if a.outcome == open && !a.stop && (slowFactor*runS-took > runS || took > slowFactor*runS) {
 				l.stop(a, a.job.spec.SaveS)
+				l.replan = true
 			}
 		}
 		m.draining = m.draining || !services
 		l.shelve(m, now)
-		l.replan = true
 	}
 }
 
+// slowOdds is how much likelier a machine is slow than not, as a logarithm.
+func (l *Leader) slowOdds(m *machine, now time.Time) float64 {
+	odds := m.slowness
+	for _, a := range m.assigned {
+		if a.outcome != open || a.seen != workers.Running || a.job.spec.Shape != jobs.Batch {
+			continue
+		}
+		// What an earlier leader began has run for longer than we have seen.
+		if usual, known := a.job.usual(); known {
+			odds += l.runsOf(a.job.spec.Class).slowIfRuns(math.Log(max(now.Sub(a.since).Seconds(), 1e-3)) - usual)
+		}
+	}
+	return odds
+}
+
 func (l *Leader) machineType(name string) *jobs.MachineType {
 	types := l.Catalog()
 	i := slices.IndexFunc(types, func(t jobs.MachineType) bool { return t.Name == name })
--- a/internal/control/tasks.go
+++ b/internal/control/tasks.go
@@ -102,6 +102,7 @@
 // finish lets the job's record be written as done.
 func (l *Leader) finish(j *job) {
 	j.final = true
+	l.vary(j)
 	l.finals = append(l.finals, j)
 }
 
