--- a/internal/control/model.go
+++ b/internal/control/model.go
@@ -115,6 +115,7 @@
 type assignment struct {
 	job     *job
 	n       int
+	task    string
 	attempt uint64
 	session uint64
 	m       *machine
@@ -137,7 +138,13 @@
 	grace    float64
 }
 
-func (a *assignment) name() string { return workers.TaskName(a.job.id, a.n) }
+// name is the task's on the wire. It is compared with every report.
+func (a *assignment) name() string {
+	if a.task == "" {
+		a.task = workers.TaskName(a.job.id, a.n)
+	}
+	return a.task
+}
 
 // phase of a machine.
 type phase int
--- /dev/null
+++ b/internal/control/scale_test.go
@@ -0,0 +1,143 @@
+package control
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"ospreyslip/internal/jobs"
+	"ospreyslip/internal/liveness"
+	"ospreyslip/internal/placement"
+	"ospreyslip/internal/state"
+	"ospreyslip/internal/workers"
+)
+
+// fleetOf is a leader with a fleet in which every machine runs one task that
+// fills it, and what each worker reports.
+func fleetOf(tb testing.TB, size int) (*Leader, []*workers.Report, time.Time) {
+	old := slog.Default()
+	slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil)))
+	tb.Cleanup(func() { slog.SetDefault(old) })
+	l, m, _, now := bench()
+	types := []jobs.MachineType{{Name: "c4", CPUs: 4, RAMGB: 32, CacheGB: 50, FetchGBPS: 1, BootS: 30}}
+	l.Catalog = func() []jobs.MachineType { return types }
+	l.lost(m, "not of this fleet")
+	delete(l.machines, m.id)
+	l.watch.Forget(m.id)
+	l.jobs, l.book = map[string]*job{}, book{}
+	l.readBook(nil)
+	spec := &jobs.Spec{ID: "j-7", Class: "sums", Team: "red", Shape: jobs.Batch, Priority: jobs.Standard, Tasks: size + 100, CPUs: 4, RAMGB: 8, EstimateS: 30, Spot: true, Image: "img"}
+	j := newJob(spec.ID, spec, 1, 0, now)
+	l.jobs[j.id] = j
+	var reports []*workers.Report
+	for i := range size {
+		r := &workers.Report{Machine: fmt.Sprintf("m-%06d", i), Addr: "10.1.0.1:9000", Type: "c4", Zone: string(rune('a' + i%3)), Session: 1, Seq: 1, Token: 5}
+		l.report(r, now)
+		a := l.assign(j, j.take(), l.machines[r.Machine], now)
+		a.durable, a.sent = true, true
+		r.Tasks = []workers.Task{{Task: a.name(), Attempt: a.attempt, State: workers.Running}}
+		r.Seq++
+		l.report(r, now)
+		reports = append(reports, r)
+	}
+	return l, reports, now
+}
+
+// again is a worker's next report, with nothing new in it.
+func again(l *Leader, r *workers.Report, now time.Time) {
+	r.Seq++
+	if a := l.report(r, now); a == nil || len(a.Calls) != 0 {
+		panic("a report without news was not simply answered")
+	}
+}
+
+// A report without news costs the same in a fleet of any size, and asks for no
+// plan, no write and no order. Counted, not timed.
+func TestWorkPerReport(t *testing.T) {
+	cost := func(size int) float64 {
+		l, reports, now := fleetOf(t, size)
+		l.replan, l.book.begins, l.pokes = false, nil, nil
+		n := testing.AllocsPerRun(100, func() { again(l, reports[20], now) })
+		if l.replan || l.book.waiting() || len(l.pokes) > 0 {
+			t.Errorf("a report without news, in a fleet of %d, has more to come of it", size)
+		}
+		return n
+	}
+	if few, many := cost(25), cost(2500); few != many {
+		t.Errorf("%v allocations a report in a fleet of 25, %v in one of 2500", few, many)
+	}
+}
+
+func BenchmarkReport(b *testing.B) {
+	l, reports, now := fleetOf(b, 2500)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		again(l, reports[i%len(reports)], now)
+	}
+}
+
+// BenchmarkPlan places one job's tasks that find no room, and one that does.
+func BenchmarkPlan(b *testing.B) {
+	l, reports, now := fleetOf(b, 2500)
+	idle := &workers.Report{Machine: "m-900000", Type: "c4", Zone: "a", Session: 1, Seq: 1, Token: 5}
+	l.report(idle, now)
+	l.queue(l.jobs["j-7"])
+	_ = reports
+	for b.Loop() {
+		l.place(now)
+		m := l.machines[idle.Machine]
+		if len(m.assigned) != 1 {
+			b.Fatalf("%d tasks placed", len(m.assigned))
+		}
+		for _, a := range m.assigned {
+			l.over(a, retry)
+			l.forget(a)
+		}
+		l.book.begins, l.book.ends = nil, nil
+	}
+}
+
+// BenchmarkTakeOver reads a book of 2500 machines.
+func BenchmarkTakeOver(b *testing.B) {
+	l, _, now := fleetOf(b, 2500)
+	written := map[string]state.Pair{}
+	for rev := uint64(1); l.book.waiting(); rev++ {
+		l.book.grow()
+		batch := &batch{marks: map[string]func(uint64){}}
+		l.addPage(batch, 0, true)
+		for _, f := range batch.done {
+			f(rev)
+		}
+		l.book.turn(1)
+		w := batch.writes[0]
+		written[w.Set] = state.Pair{Key: w.Set, Value: w.Value, Mark: rev}
+	}
+	pairs := slices.Collect(maps.Values(written))
+	spec, _ := json.Marshal(l.jobs["j-7"].spec)
+	bytes := 0
+	for _, p := range pairs {
+		bytes += len(p.Value)
+	}
+	b.ReportMetric(float64(len(pairs)), "pages")
+	b.ReportMetric(float64(bytes), "bytes")
+	for b.Loop() {
+		var s jobs.Spec
+		if err := json.Unmarshal(spec, &s); err != nil {
+			b.Fatal(err)
+		}
+		next := &Leader{
+			Deps: l.Deps, term: l.term, token: 6, machines: map[string]*machine{}, used: map[string]placement.Amount{},
+			queued: map[*job]bool{}, runs: map[string]*runs{}, watch: liveness.New(liveness.Config{}),
+			jobs: map[string]*job{"j-7": newJob("j-7", &s, 1, 0, now)},
+		}
+		next.restore(next.readBook(pairs), nil, now)
+		if len(next.machines) != 2500 {
+			b.Fatalf("%d machines restored", len(next.machines))
+		}
+	}
+}
