--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -164,6 +164,7 @@
 	planTook  time.Duration
 	unmet     []placement.Demand
 	pokes     []*machine // have something to be told at once
+	hails     []*machine // the same, but they may not answer
 	ordersOut int
 	callsOut  int
 
--- a/internal/control/model.go
+++ b/internal/control/model.go
@@ -180,6 +180,7 @@
 	poked               bool // has something to be told at once
 	orderBusy           bool
 	orderAfter          time.Time
+	orderFails          int // orders in a row that had no answer
 	doubtSince          time.Time
 	ordered             map[uint64]uint64 // attempts begun by an order, with its token
 	failures            map[string]bool   // jobs that failed here since one succeeded
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -19,6 +19,19 @@
 func (l *Leader) poke(m *machine) {
 	if !m.poked {
 		m.poked = true
+		l.repoke(m)
+	}
+}
+
+// repoke queues a worker that has something to be told. Those that may not answer
+// have a queue of their own: a zone that is cut off must not keep the others
+// waiting behind orders that time out.
+func (l *Leader) repoke(m *machine) {
+	switch {
+	case !m.poked:
+	case m.orderFails > 0 || m.reported.IsZero():
+		l.hails = append(l.hails, m)
+	default:
 		l.pokes = append(l.pokes, m)
 	}
 }
@@ -26,11 +39,16 @@
 // orders tells workers at once what cannot wait for their next report. A few
 // orders are on their way at a time: at a take-over every worker has to be told.
 func (l *Leader) orders(ctx context.Context, now time.Time) {
-	for len(l.pokes) > 0 && l.ordersOut < l.Derived.OrdersOut {
-		m := l.pokes[0]
-		l.pokes = l.pokes[1:]
-		if m.orderBusy {
-			continue // looked at again when that order has returned
+	l.sendOrders(ctx, now, &l.pokes, l.Derived.OrdersOut)
+	l.sendOrders(ctx, now, &l.hails, l.Derived.OrdersOut/2)
+}
+
+func (l *Leader) sendOrders(ctx context.Context, now time.Time, queue *[]*machine, most int) {
+	for len(*queue) > 0 && l.ordersOut < most {
+		m := (*queue)[0]
+		*queue = (*queue)[1:]
+		if !m.poked || m.orderBusy {
+			continue // nothing any more, or looked at again when that order has returned
 		}
 		if wait := m.orderAfter.Sub(now); wait > 0 {
 			l.later(ctx, wait, func() { l.repoke(m) })
@@ -60,12 +78,6 @@
 	}
 }
 
-func (l *Leader) repoke(m *machine) {
-	if m.poked {
-		l.pokes = append(l.pokes, m)
-	}
-}
-
 // ordered takes in the outcome of an order. If nobody knows whether it arrived,
 // its runs are in doubt: they may be executed at any later time while token and
 // session match. They are not sent again, nor is their task placed elsewhere,
@@ -73,7 +85,7 @@
 func (l *Leader) ordered(m *machine, o workers.Order, r *workers.Report, ok bool, err error, now time.Time) {
 	m.orderBusy = false
 	l.ordersOut--
-	l.repoke(m)
+	defer l.repoke(m)
 	neverSent := !ok && err == nil
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
@@ -95,12 +107,13 @@
 	}
 	if err != nil {
 		slog.Debug("order failed", "machine", m.id, "term", l.token, "reason", err)
-		m.orderAfter = now.Add(l.Derived.Beat)
-		l.poke(m)
+		m.orderAfter = now.Add(min(l.Derived.Beat<<min(m.orderFails, 8), l.Derived.Lease/4))
+		m.orderFails++
+		m.poked = true
 		l.watch.Suspect(m.id)
 		return
 	}
-	m.unheeded = 0
+	m.unheeded, m.orderFails = 0, 0
 	l.watch.Hears(m.id)
 	l.watch.Answered(m.id, counter(r))
 	l.observe(m, r, now)
--- a/internal/control/picture_test.go
+++ b/internal/control/picture_test.go
@@ -1,8 +1,12 @@
 package control
 
 import (
+	"context"
+	"fmt"
 	"math"
+	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -271,3 +275,42 @@
 		t.Error(d)
 	}
 }
+
+// silent is a network on which nothing is answered.
+type silent struct{}
+
+func (silent) RoundTrip(r *http.Request) (*http.Response, error) {
+	<-r.Context().Done()
+	return nil, r.Context().Err()
+}
+
+// A zone that is cut off has orders time out by the hundred. They must not keep
+// the orders waiting that can arrive.
+func TestOrdersThatCanArriveGoFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, m, _, _ := bench()
+		now := time.Now()
+		l.Workers = workers.NewClient(silent{}, time.Minute)
+		l.Derived.OrdersOut = 4
+		l.events = make(chan func(time.Time), 64)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		for i := range 20 {
+			lost := newMachine(fmt.Sprint("m-9", i), now)
+			lost.phase, lost.session, lost.addr, lost.leaseUntil = up, 1, "10.1.0.9:9000", now.Add(time.Hour)
+			l.poke(lost) // from an earlier leader's records: it has not reported to this one
+		}
+		l.orders(ctx, now)
+		if l.ordersOut != 2 {
+			t.Errorf("%d of 4 orders at a time to machines that may not answer", l.ordersOut)
+		}
+		m.leaseUntil = now.Add(time.Hour)
+		l.poke(m)
+		l.orders(ctx, now)
+		if !m.orderBusy {
+			t.Error("a machine that reports waits behind those that do not")
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/control/tasks.go
+++ b/internal/control/tasks.go
@@ -335,7 +335,7 @@
 		slog.Info("machine reports again", "machine", m.id, "term", l.token)
 	}
 	l.observe(m, r, now)
-	m.reported = now
+	m.reported, m.orderFails = now, 0
 	l.shelve(m, now)
 	calls := l.calls(m, true)
 	m.told = calls
