--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -235,8 +235,11 @@
 	in.Fill = func(p *placement.Machine) { l.fillOffer(p, asVictim, placed, now) }
 	out := placement.Plan(in)
 	for _, s := range out.Stop {
-		a := placed[s.Task]
-		l.stop(a, a.job.spec.SaveS)
+		a, grace := placed[s.Task], 0.0
+		if !s.AtOnce {
+			grace = a.job.spec.SaveS
+		}
+		l.stop(a, grace)
 	}
 	for _, as := range out.Assign {
 		j := back[as.Job]
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -76,6 +76,7 @@
 type Stop struct {
 	Machine *Machine
 	Task    *Placed
+	AtOnce  bool // without time to save: a service waits for the room
 }
 
 // Demand is what found no room, in order of importance.
@@ -380,9 +381,8 @@
 const slowFetch = 4.0 / 3
 
 // makeRoom stops tasks for up to n tasks of a job, on machines that will do; nil
-// means all. What has to save first does not leave for a start that is urgent.
-// Room that is being made is set aside, so that the next plan does not stop more
-// for the same need.
+// means all. Room that is being made is set aside, so that the next plan does not
+// stop more for the same need.
 func (in *Input) makeRoom(j *Job, n int, out *Output, will func(*Machine) bool) (made int) {
 	if !in.mayMakeRoom(j) {
 		return 0
@@ -401,7 +401,7 @@
 				in.filled[m] = true
 				in.Fill(m)
 			}
-			if w, ok := in.victims(j, m, need, will != nil); ok {
+			if w, ok := in.victims(j, m, need); ok {
 				ways = append(ways, w)
 			}
 		})
@@ -415,7 +415,7 @@
 		}
 		m := w.on
 		for _, v := range w.stop {
-			out.Stop = append(out.Stop, Stop{m, v})
+			out.Stop = append(out.Stop, Stop{m, v, j.Spec.Shape == jobs.Service})
 			m.Tasks = slices.DeleteFunc(m.Tasks, func(p *Placed) bool { return p == v })
 			m.Freeing = m.Freeing.Plus(Of(v.Job.Spec), 1)
 		}
@@ -424,7 +424,7 @@
 		in.setFree(m, Amount{})
 		in.counted(j, m)
 		made++
-		if next, ok := in.victims(j, m, need, will != nil); ok {
+		if next, ok := in.victims(j, m, need); ok {
 			ways[0] = next
 			heap.Fix(&ways, 0)
 		} else {
@@ -465,7 +465,7 @@
 }
 
 // victims returns the cheapest tasks to stop on a machine.
-func (in *Input) victims(j *Job, m *Machine, need Amount, atOnce bool) (w sacrifice, ok bool) {
+func (in *Input) victims(j *Job, m *Machine, need Amount) (w sacrifice, ok bool) {
 	if !m.open(j) {
 		return w, false
 	}
@@ -476,7 +476,7 @@
 	}
 	var order []*Placed
 	for _, v := range m.Tasks {
-		if mayStop(in, j, v) && !(atOnce && v.Job.Spec.CheckpntS > 0) {
+		if mayStop(in, j, v) {
 			order = append(order, v)
 		}
 	}
