--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -158,7 +158,7 @@
 	shelves   placement.Shelves
 	ranks     [8]int // tasks on machines, by priority
 	queued    map[*job]bool
-	recover   bool // which jobs are covered is to be found out anew
+	uncovered bool // which jobs are covered is to be found out anew
 	replan    bool
 	plannedAt time.Time
 	planTook  time.Duration
@@ -319,7 +319,7 @@
 		l.queue(j)
 		l.arrived(j, time.Duration(now.UnixMilli()-j.atMs)*time.Millisecond, now)
 	}
-	l.replan, l.recover = true, true
+	l.replan, l.uncovered = true, true
 	l.raisedAt = now
 	l.listSyncAt = now.Add(2 * l.Derived.ListLag)
 	slog.Info("records read", "term", l.token, "jobs", len(l.jobs), "ended", len(ended), "machines", len(l.machines))
@@ -487,7 +487,7 @@
 		l.show(j)
 		l.queue(j)
 		l.arrived(j, 0, now)
-		l.replan, l.recover = true, true
+		l.replan, l.uncovered = true, true
 	case j != nil && rec.Stance == jobs.Cancelled && !j.cancelled:
 		slog.Info("job cancelled", "job", id, "term", l.token)
 		j.cancelled, j.mark = true, c.Mark
@@ -513,7 +513,7 @@
 	}
 	delete(l.jobs, j.id)
 	delete(l.queued, j)
-	l.recover = true
+	l.uncovered = true
 	l.Counts.drop(j.id)
 }
 
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -127,9 +127,7 @@
 // doubts asks for a higher token where orders have been in doubt for long, and
 // once in a lease where an end waits for it to be cleared.
 func (l *Leader) doubts(now time.Time) {
-	if l.clearHeld && now.Sub(l.raisedAt) > l.Derived.Lease {
-		l.raise = true
-	}
+	raise := l.clearHeld && now.Sub(l.raisedAt) > l.Derived.Lease
 	for _, m := range l.machines {
 		if m.doubtSince.IsZero() {
 			continue
@@ -138,9 +136,7 @@
 		for _, a := range m.assigned {
 			if a.outcome == open && a.doubt != 0 {
 				inDoubt = true
-				if a.doubt == l.token && now.Sub(m.doubtSince) > l.Derived.DoubtFor {
-					l.raise = true
-				}
+				raise = raise || a.doubt == l.token && now.Sub(m.doubtSince) > l.Derived.DoubtFor && now.Sub(l.raisedAt) > l.Derived.Beat
 			}
 		}
 		if !inDoubt {
@@ -148,6 +144,9 @@
 			l.poke(m)
 		}
 	}
+	if raise {
+		l.raise, l.raisedAt = true, now // once, however long the write takes
+	}
 }
 
 // expire ends what a worker's own lease has ended by now.
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -148,7 +148,7 @@
 
 // cover finds out which jobs their teams' guarantees cover.
 func (l *Leader) cover() {
-	l.recover = false
+	l.uncovered = false
 	var all []*placement.Job
 	back := map[*placement.Job]*job{}
 	for _, j := range l.jobs {
@@ -203,7 +203,7 @@
 func (l *Leader) place(now time.Time) {
 	l.replan, l.plannedAt = false, now
 	defer func() { l.planTook = time.Since(now) }()
-	if l.recover {
+	if l.uncovered {
 		l.cover()
 	}
 	in := placement.Input{Teams: l.Settings.Deployment.Teams, Used: map[string]placement.Amount{}, Shelves: &l.shelves}
--- a/internal/control/write.go
+++ b/internal/control/write.go
@@ -88,7 +88,7 @@
 	b.undo = append(b.undo, func() { l.raise = true })
 	b.done = append(b.done, func(rev uint64) {
 		l.token, l.tokenMark = next, rev
-		l.raisedAt, l.clearHeld = time.Now(), false
+		l.clearHeld = false
 		l.Raised(next)
 		slog.Info("token raised", "term", l.token, "reason", "an order may still arrive")
 	})
--- a/internal/settings/derived.go
+++ b/internal/settings/derived.go
@@ -47,7 +47,6 @@
 	BeginBy     time.Duration // a job that got nothing for so long goes first
 
 	TxnOps      int
-	TxnGuards   int
 	ValueBytes  int
 	ChunkTasks  int // tasks whose completions are kept together
 	MemoryBytes int64
@@ -120,7 +119,6 @@
 		BeginBy: largestBegin / 2,
 
 		TxnOps:      d.State.TxnOps,
-		TxnGuards:   4 * d.State.TxnOps,
 		ValueBytes:  value,
 		ChunkTasks:  max(64, value/4/64*64), // as text, a twenty-fourth of it
 		MemoryBytes: int64(d.Limits.MemoryMB * (1 << 20)),
--- a/internal/term/term_test.go
+++ b/internal/term/term_test.go
@@ -40,7 +40,6 @@
 		}, func() {
 			cancel()
 			<-done
-			world.Wait()
 		}
 }
 
@@ -73,6 +72,7 @@
 			t.Errorf("after the outage a new term with a higher token was due: %v", got)
 		}
 		stop()
+		world.Wait()
 	})
 }
 
@@ -143,5 +143,6 @@
 		}
 		stopA()
 		stopB()
+		world.Wait()
 	})
 }
