--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -33,7 +33,7 @@
 		asked := time.Now()
 		all, pages, err := l.Cloud.List(ctx)
 		if err != nil {
-			slog.Debug("machines not listed", "term", l.token, "reason", err)
+			slog.Debug("machines not listed", "term", l.term.Token, "reason", err)
 		} else {
 			l.post(ctx, func(now time.Time) { l.listed(ctx, all, asked, now) })
 		}
@@ -133,7 +133,7 @@
 		return 1
 	})
 	l.release(ctx, now, back...)
-	if now.Before(l.listSyncAt) && l.token > 1 {
+	if now.Before(l.listSyncAt) && l.term.Token > 1 {
 		return // an earlier leader's rentals may not be listed yet
 	}
 	l.rent(ctx, now)
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -448,7 +448,7 @@
 			}
 		}
 		if err != nil {
-			slog.Debug("watch failed", "term", l.token, "reason", err)
+			slog.Debug("watch failed", "term", l.term.Token, "reason", err)
 			select {
 			case <-ctx.Done():
 			case <-time.After(l.Derived.TermRenew):
--- a/internal/node/trouble_test.go
+++ b/internal/node/trouble_test.go
@@ -5,10 +5,12 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"ospreyslip/internal/jobs"
+	"ospreyslip/internal/settings"
 	"ospreyslip/internal/standin"
 )
 
@@ -290,3 +292,45 @@
 		}
 	})
 }
+
+// Every poll for every job is answered, however many there are: all together
+// cost the state service a few reads, out of a budget that all nodes share.
+func TestEveryPollIsAnswered(t *testing.T) {
+	tweak := func(s *settings.Settings) { s.Deployment.State.RPS = 30 }
+	inCluster(t, tweak, func(c *cluster) {
+		var ids []string
+		for i := range 20 {
+			id := fmt.Sprintf("j-%d", i+1)
+			c.submit(c.names[i%3], batch(id, 1, 40))
+			ids = append(ids, id)
+			c.run(300 * time.Millisecond)
+		}
+		poll := func() {
+			var users sync.WaitGroup
+			for _, n := range c.names {
+				for _, id := range ids {
+					users.Go(func() {
+						if status, _ := c.ask("GET", n, "/v1/jobs/"+id, nil); status != http.StatusOK {
+							t.Errorf("poll for %s at %s: %d", id, n, status)
+						}
+					})
+				}
+			}
+			users.Wait()
+		}
+		for range 50 {
+			poll()
+			c.run(100 * time.Millisecond)
+		}
+		// After an outage, and with a new leader, they are answered again.
+		c.world.State.Down(true)
+		c.run(5 * time.Second)
+		old := c.leader()
+		c.crash(old)
+		c.world.State.Down(false)
+		c.run(10 * time.Second)
+		c.start(old)
+		c.run(5 * time.Second)
+		poll()
+	})
+}
