--- a/internal/control/picture_test.go
+++ b/internal/control/picture_test.go
@@ -146,6 +146,10 @@
 	if a := l.report(old, now.Add(until)); a == nil || a.Token != 5 || len(a.Calls) != 0 {
 		t.Errorf("answered %+v, want the token and no commands", a)
 	}
+	lease := m.leaseUntil
+	if l.report(old, now.Add(until+time.Second)) != nil || m.leaseUntil != lease {
+		t.Error("a copy of it renewed the lease once more")
+	}
 	if m.seq == 9 || j.tasks[0] == nil || l.watch.Placeable("m-1", now.Add(until)) {
 		t.Error("an old report counted as news")
 	}
@@ -156,6 +160,18 @@
 	}
 }
 
+// A machine that was judged dead comes back while the cloud does not take it back.
+// Were its reports answered, its tasks would run on, even those of cancelled jobs.
+func TestReturningMachinesAreNotAnswered(t *testing.T) {
+	l, m, _, now := bench()
+	l.report(report(1, 2), now)
+	lease := m.leaseUntil
+	m.phase = returning
+	if l.report(report(1, 3), now.Add(time.Second)) != nil || m.leaseUntil != lease {
+		t.Error("its lease was renewed")
+	}
+}
+
 // A copy of a report that was answered renews no lease, wakes no dead machine
 // and sets no floor.
 func TestCopiesOfReports(t *testing.T) {
--- a/internal/control/tasks.go
+++ b/internal/control/tasks.go
@@ -306,11 +306,17 @@
 	}
 	c := counter(r)
 	if m != nil {
+		if m.phase == returning {
+			// Its release may take as long as an outage of the cloud. Unanswered,
+			// its tasks end with its lease; answered, they would run on, those of
+			// jobs cancelled meanwhile as well.
+			return nil
+		}
 		if r.Session < m.session || c == m.lastReport || c.Before(m.lastReport) {
 			return nil // from before a lease that has run out, or a late copy
 		}
 		// Whoever gets an answer has its lease renewed by it.
-		m.leaseUntil = now.Add(l.Derived.LeaseOver)
+		m.leaseUntil, m.lastReport = now.Add(l.Derived.LeaseOver), c
 	}
 	if r.Token < l.term.Token {
 		// Sent before the worker heard of this term, or a copy of such a report
@@ -322,9 +328,9 @@
 		m = newMachine(r.Machine, now)
 		m.typ, m.zone, m.spot, m.addr = r.Type, r.Zone, r.Spot, r.Addr
 		m.leaseUntil = now.Add(l.Derived.LeaseOver)
+		m.lastReport = c
 		l.machines[r.Machine] = m
 	}
-	m.lastReport = c
 	if m.phase == booting {
 		l.booted(m, now)
 	}
--- a/internal/jobs/mirror.go
+++ b/internal/jobs/mirror.go
@@ -33,6 +33,7 @@
 type brief struct {
 	stance string
 	tasks  int
+	mark   uint64 // its revision
 }
 
 // NewMirror makes an empty mirror; Run fills it.
@@ -121,7 +122,7 @@
 			}
 			for _, c := range changes {
 				if c.Set != "" {
-					m.set(c.Set, c.Value)
+					m.set(c.Set, c.Value, c.Mark)
 				}
 			}
 			m.revision = max(m.revision, revision)
@@ -147,13 +148,15 @@
 		return err
 	}
 	for _, p := range pairs {
-		m.set(p.Key, p.Value)
+		m.set(p.Key, p.Value, p.Mark)
 	}
 	m.whole, m.revision = true, revision
 	return nil
 }
 
-func (m *Mirror) set(key string, value json.RawMessage) {
+// set takes in a record. Changes that the list was ahead of come once more after
+// it: they must not turn an answer back while they are taken in.
+func (m *Mirror) set(key string, value json.RawMessage, mark uint64) {
 	var rec struct {
 		Stance string `json:"stance"`
 		Tasks  int    `json:"tasks"`
@@ -162,7 +165,7 @@
 		slog.Error("job record unreadable", "key", key, "reason", err)
 		return
 	}
-	b := brief{tasks: rec.Tasks}
+	b := brief{tasks: rec.Tasks, mark: mark}
 	for _, s := range []string{Queued, Done, Cancelled} {
 		if s == rec.Stance {
 			b.stance = s // one copy of the text for all jobs
@@ -170,5 +173,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.jobs[IDOf(key)] = b
+	if id := IDOf(key); m.jobs[id].mark <= mark {
+		m.jobs[id] = b
+	}
 }
