--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -60,6 +60,7 @@
 	debug   *handed
 	born    time.Time
 	served  atomic.Int64 // when, since born, the leader last said that the state service answers it
+	heard   atomic.Int64 // when, since born, a leader was last heard of, this node included
 	catalog atomic.Pointer[[]jobs.MachineType]
 }
 
@@ -116,6 +117,7 @@
 			return
 		}
 		n.counts.Replace(p.Counts)
+		n.heard.Store(time.Since(n.born).Nanoseconds())
 		if p.Served {
 			n.served.Store(time.Since(n.born).Nanoseconds())
 		}
@@ -216,18 +218,28 @@
 }
 
 func (n *Node) publish(counts map[string]jobs.Counts) {
+	n.heard.Store(time.Since(n.born).Nanoseconds())
 	n.hub.Publish(peer.Progress{Counts: counts, Served: !n.store.Failing()})
 }
 
 // ready tells whether this node can take requests. One that the state service
-// alone refuses sends its users to others; in an outage of all it stays, since
-// users would only find nobody, and come back later than the service does.
+// alone refuses sends its users to others, and so does one that has lost the state
+// service and the leader together, as it is most likely cut off itself. In an outage
+// of all it stays, since users would only find nobody, and come back later than the
+// service does.
 func (n *Node) ready() bool {
 	if !n.store.Failing() {
 		return true
 	}
-	at := time.Duration(n.served.Load())
-	return at == 0 || time.Since(n.born)-at > 2*n.d.Report
+	ago := func(at *atomic.Int64) (time.Duration, bool) {
+		t := time.Duration(at.Load())
+		return time.Since(n.born) - t, t != 0
+	}
+	if since, ever := ago(&n.served); ever && since <= 2*n.d.Report {
+		return false
+	}
+	since, ever := ago(&n.heard)
+	return !ever || since <= 4*n.d.Beat
 }
 
 func (n *Node) types() []jobs.MachineType {
--- a/internal/node/trouble_test.go
+++ b/internal/node/trouble_test.go
@@ -164,9 +164,15 @@
 		if status, view := c.ask("POST", alone, "/v1/report", report); status != http.StatusServiceUnavailable {
 			t.Errorf("a node that knows nothing of the term answers a worker %d %v", status, view)
 		}
+		if status, _ := c.ask("GET", alone, "/up", nil); status != http.StatusServiceUnavailable {
+			t.Errorf("a node without state service and leader keeps its users: /up is %d", status)
+		}
 		token := string(c.world.State.Value("term/token"))
 		c.world.Net.Faults(nil)
 		c.run(20 * time.Second)
+		if status, _ := c.ask("GET", alone, "/up", nil); status != http.StatusOK {
+			t.Errorf("served again, /up is %d", status)
+		}
 		if now := string(c.world.State.Value("term/token")); now != token {
 			t.Errorf("coming back it disturbed the term: token %s, before %s", now, token)
 		}
