--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -239,7 +239,7 @@
 		return false
 	}
 	since, ever := ago(&n.heard)
-	return !ever || since <= 4*n.d.Beat
+	return !ever || since <= n.d.Cancel // most outages are over by then
 }
 
 func (n *Node) types() []jobs.MachineType {
