A leader that stood still past its term asks nothing of the cloud any more

Ruled out: its writes and orders, which are guarded by the term already. Now a tick without the term does nothing, and rentals and releases check the term before each try.

--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -330,6 +330,9 @@
 // same request, which the cloud carries out once only, goes out again.
 func (l *Leader) charter(ctx context.Context, r fleet.Rental) {
 	ids, err := backoff.Retry(ctx, func() ([]string, error) {
+		if !l.Valid() {
+			return nil, backoff.Permanent(errTermOver)
+		}
 		ids, err := l.Cloud.Rent(ctx, r)
 		if errors.Is(err, fleet.ErrNoCapacity) {
 			return nil, backoff.Permanent(err)
@@ -362,6 +365,9 @@
 	})
 }
 
+// errTermOver ends what only the term's holder may ask of the cloud.
+var errTermOver = errors.New("the term is over")
+
 func (l *Leader) backOff() *backoff.ExponentialBackOff {
 	b := backoff.NewExponentialBackOff()
 	b.InitialInterval = l.Derived.Report / 2
@@ -390,8 +396,12 @@
 	l.returning = true
 	slog.Info("machines going back", "machines", ids, "term", l.token)
 	go func() {
-		_, err := backoff.Retry(ctx, func() (struct{}, error) { return struct{}{}, l.Cloud.Release(ctx, ids) },
-			backoff.WithBackOff(l.backOff()), backoff.WithMaxElapsedTime(0))
+		_, err := backoff.Retry(ctx, func() (struct{}, error) {
+			if !l.Valid() {
+				return struct{}{}, backoff.Permanent(errTermOver)
+			}
+			return struct{}{}, l.Cloud.Release(ctx, ids)
+		}, backoff.WithBackOff(l.backOff()), backoff.WithMaxElapsedTime(0))
 		if err != nil {
 			return // the term is over
 		}
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -176,6 +176,12 @@
 }
 
 func (l *Leader) tick(ctx context.Context, now time.Time) {
+	// A process that stood still for longer than its term finds all machines idle
+	// and silent when it goes on, while its successor is at work on them: it must
+	// not give them back before its keeper has noticed.
+	if !l.Valid() {
+		return
+	}
 	l.expire(now)
 	l.doubts(now)
 	for _, m := range l.machines {
--- a/internal/control/picture_test.go
+++ b/internal/control/picture_test.go
@@ -292,13 +292,16 @@
 	}
 }
 
-// silent is a network on which nothing is answered.
-type silent struct{}
+// roundTrip is a network as one function.
+type roundTrip func(*http.Request) (*http.Response, error)
+
+func (f roundTrip) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
 
-func (silent) RoundTrip(r *http.Request) (*http.Response, error) {
+// silent is a network on which nothing is answered.
+var silent = roundTrip(func(r *http.Request) (*http.Response, error) {
 	<-r.Context().Done()
 	return nil, r.Context().Err()
-}
+})
 
 // A zone that is cut off has orders time out by the hundred. They must not keep
 // the orders waiting that can arrive.
@@ -306,7 +309,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		l, m, _, _ := bench()
 		now := time.Now()
-		l.Workers = workers.NewClient(silent{}, time.Minute)
+		l.Workers = workers.NewClient(silent, time.Minute)
 		l.Derived.OrdersOut = 4
 		l.events = make(chan func(time.Time), 64)
 		ctx, cancel := context.WithCancel(t.Context())
@@ -330,3 +333,38 @@
 		synctest.Wait()
 	})
 }
+
+// A leader that stood still for longer than its term must not act on what it
+// finds when it goes on: all machines look idle for long, while the next leader
+// has work on them. It gave a hundred of them back.
+func TestStoodStill(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, m, j, now := bench()
+		types := []jobs.MachineType{{Name: "c4", CPUs: 4, BootS: 10}}
+		l.Catalog = func() []jobs.MachineType { return types }
+		asked := 0
+		l.Cloud = fleet.NewCloud("cloud", roundTrip(func(*http.Request) (*http.Response, error) {
+			asked++
+			return nil, http.ErrHandlerTimeout
+		}), time.Second, 100)
+		l.Publish, l.events = func(map[string]jobs.Counts) {}, make(chan func(time.Time), 1)
+		for _, a := range j.tasks {
+			l.over(a, retry)
+			l.forget(a)
+		}
+		l.Valid = func() bool { return false }
+		ctx, stop := context.WithCancel(t.Context())
+		l.tick(ctx, now.Add(l.Derived.Lease))
+		if m.phase != up {
+			t.Error("a machine was given back")
+		}
+		// What had begun before is not sent any more either.
+		l.release(ctx, now, m)
+		l.charter(ctx, fleet.Rental{Name: "r-5-1", Count: 1})
+		synctest.Wait()
+		if asked > 0 {
+			t.Errorf("%d requests to the cloud", asked)
+		}
+		stop()
+	})
+}
