Idle connections make way where they run short; one is accepted a turn

Ruled out: memory (223 of 322 MB), the state service (3 ms). Now the connection idle for longest makes way, idle ones live for three reports or half of cancel_s, 13/16 of the sockets are for users and workers, 1/16 for idle ones to workers, and one connection is accepted a turn of the scheduler.

--- /dev/null
+++ b/internal/node/conns_test.go
@@ -0,0 +1,60 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"golang.org/x/net/netutil"
+)
+
+// Connections whose other end is gone without a word stay open until they have been
+// idle for long. They must not keep out whoever comes meanwhile, nor may those in
+// use make way.
+func TestIdleConnectionsMakeWay(t *testing.T) {
+	const most = 4
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	busy, release := make(chan bool), make(chan bool)
+	mux := http.NewServeMux()
+	mux.HandleFunc("/quick", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("/long", func(http.ResponseWriter, *http.Request) { busy <- true; <-release })
+	c := newConns(most)
+	srv := &http.Server{Handler: mux, ConnState: c.changed}
+	go func() { _ = srv.Serve(netutil.LimitListener(turns{ln}, most)) }()
+	defer srv.Close()
+	get := func(path string) error {
+		// Each client has a connection of its own, and keeps it.
+		client := &http.Client{Transport: &http.Transport{}}
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		defer cancel()
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+ln.Addr().String()+path, nil)
+		if err != nil {
+			return err
+		}
+		resp, err := client.Do(req)
+		if err != nil {
+			return err
+		}
+		_, err = io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+		return err
+	}
+	done := make(chan error)
+	go func() { done <- get("/long") }()
+	<-busy
+	for i := range 3 * most {
+		if err := get("/quick"); err != nil {
+			t.Fatalf("connection %d of %d at a time: %v", i+2, most, err)
+		}
+	}
+	release <- true
+	if err := <-done; err != nil {
+		t.Errorf("a connection in use made way: %v", err)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -144,17 +144,19 @@
 	if err != nil {
 		return fmt.Errorf("cluster_listen: %w", err)
 	}
+	served := newConns(n.d.ServedConns)
 	srv := &http.Server{
 		Handler:           n.Handler(),
+		ConnState:         served.changed,
 		ReadHeaderTimeout: n.d.UserWait * 2,
 		ReadTimeout:       n.d.UserWait * 4,
-		IdleTimeout:       n.d.Cancel * 2,
+		IdleTimeout:       n.d.IdleConns,
 		ErrorLog:          slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
 	}
 	slog.Info("serving", "node", n.set.Node, "zone", n.set.Zone, "bind", n.set.Listen)
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error {
-		err := srv.Serve(netutil.LimitListener(ln, n.d.ServedConns))
+		err := srv.Serve(netutil.LimitListener(turns{ln}, n.d.ServedConns))
 		if errors.Is(err, http.ErrServerClosed) {
 			return nil
 		}
--- a/internal/settings/derived.go
+++ b/internal/settings/derived.go
@@ -50,9 +50,10 @@
 	ValueBytes  int
 	ChunkTasks  int // tasks whose completions are kept together
 	MemoryBytes int64
-	ServedConns int // of users and workers
-	WorkerConns int // kept open to workers while idle
-	OrdersOut   int // orders on their way at a time
+	ServedConns int           // of users and workers
+	IdleConns   time.Duration // how long one of these is kept without a request
+	WorkerConns int           // kept open to workers while idle
+	OrdersOut   int           // orders on their way at a time, and as many calls
 	UserQueue   int
 }
 
@@ -122,8 +123,12 @@
 		ValueBytes:  value,
 		ChunkTasks:  max(64, value/4/64*64), // as text, a twenty-fourth of it
 		MemoryBytes: int64(d.Limits.MemoryMB * (1 << 20)),
-		ServedConns: d.Limits.MaxSockets * 3 / 4,
-		WorkerConns: max(8, d.Limits.MaxSockets/8),
+		// A sixteenth of the sockets is left over: for the state service,
+		// the cloud, the other controllers and whatever is being closed.
+		ServedConns: d.Limits.MaxSockets * 13 / 16,
+		// Users poll and workers report several times in it.
+		IdleConns:   max(times(report, s.Operator.SilentReports), cancel/2),
+		WorkerConns: max(8, d.Limits.MaxSockets/16),
 		OrdersOut:   max(4, d.Limits.MaxSockets/32),
 		UserQueue:   max(8, d.Limits.MaxSockets/16),
 	}
