--- a/internal/control/model.go
+++ b/internal/control/model.go
@@ -32,6 +32,7 @@
 	zones     map[string]int
 	served    time.Time // when a task was last placed, or the job became known
 	covered   bool      // within its team's guarantee
+	coveredAt time.Time // since when
 	tooks     []float64 // how long its completed tasks ran, as logarithms, in order
 	errors    int       // failures in a row, over all machines
 	notBefore time.Time
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -147,7 +147,7 @@
 }
 
 // cover finds out which jobs their teams' guarantees cover.
-func (l *Leader) cover() {
+func (l *Leader) cover(now time.Time) {
 	l.uncovered = false
 	var all []*placement.Job
 	back := map[*placement.Job]*job{}
@@ -161,10 +161,17 @@
 	slices.SortFunc(all, func(a, b *placement.Job) int { return cmp.Compare(a.Order, b.Order) })
 	placement.Guarantees(l.Settings.Deployment.Teams, all)
 	for p, j := range back {
+		if p.Guaranteed && !j.covered {
+			j.coveredAt = now
+		}
 		j.covered = p.Guaranteed
 	}
 }
 
+// patientShare is the part of the time in which work within a guarantee should
+// start for which it waits for tasks to end by themselves.
+const patientShare = 0.5
+
 // planJob is a job as placement sees it.
 func (l *Leader) planJob(j *job, now time.Time, wall int64) *placement.Job {
 	p := &placement.Job{
@@ -175,6 +182,9 @@
 		p.Zones[z] = n
 	}
 	for _, o := range l.Settings.Deployment.Objectives {
+		if o.Kind == "guarantee" && j.spec.Shape == jobs.Batch {
+			p.Patient = now.Sub(j.coveredAt).Seconds() < patientShare*o.WithinS
+		}
 		if o.Kind == "wait" && o.Class == j.spec.Class {
 			// Until the order is out and the report back. What has run before
 			// is wanted back as soon as it was wanted at first.
@@ -204,7 +214,7 @@
 	l.replan, l.plannedAt = false, now
 	defer func() { l.planTook = time.Since(now) }()
 	if l.uncovered {
-		l.cover()
+		l.cover(now)
 	}
 	in := placement.Input{Teams: l.Settings.Deployment.Teams, Used: map[string]placement.Amount{}, Shelves: &l.shelves}
 	for team, a := range l.used {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -41,6 +41,7 @@
 	Zones      map[string]int // tasks that are, or may be, in a zone
 	Guaranteed bool           // within its team's guarantee
 	StartS     float64        // seconds left to its aim to start; 0 without one
+	Patient    bool           // others need not yet stop for its guarantee
 }
 
 // Input is the whole picture. Plan uses up all but the shelves.
@@ -368,9 +369,14 @@
 	if v.Spec.Priority == jobs.Prod && j.Spec.Priority != jobs.Prod {
 		return false
 	}
-	return j.Guaranteed && !v.Guaranteed && v.Spec.Team != j.Spec.Team && in.beyond(v.Spec.Team)
+	return in.claims(j) && !v.Guaranteed && v.Spec.Team != j.Spec.Team && in.beyond(v.Spec.Team)
 }
 
+// claims tells whether a job takes what its team is guaranteed from others. Tasks
+// end all the time, and what is guaranteed goes first where they do: a claim that
+// can wait for that costs nobody the work of a task.
+func (in *Input) claims(j *Job) bool { return j.Guaranteed && !j.Patient }
+
 // beyond tells whether a team uses more than it is guaranteed.
 func (in *Input) beyond(team string) bool {
 	t, used := teamOf(in.Teams, team), in.Used[team]
@@ -437,7 +443,7 @@
 // mayMakeRoom tells whether a search for victims can find any: it goes through
 // all machines, and mostly there is nothing of lower priority.
 func (in *Input) mayMakeRoom(j *Job) bool {
-	return in.Least < j.Spec.Rank() || j.Guaranteed && slices.ContainsFunc(in.Teams, func(t settings.Team) bool {
+	return in.Least < j.Spec.Rank() || in.claims(j) && slices.ContainsFunc(in.Teams, func(t settings.Team) bool {
 		return t.Name != j.Spec.Team && in.beyond(t.Name)
 	})
 }
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -156,6 +156,14 @@
 			j.Guaranteed = true
 			in.Machines, in.Jobs = []*Machine{m}, []*Job{j}
 		}, "stop j-1/0@a1"},
+		{"but not while room may come by itself in time", func(in *picture) {
+			m := box("a1", 4)
+			running(m, job("j-1", 1, 4, func(s *jobs.Spec) { s.Team, s.Priority = "blue", jobs.Urgent }), 0, 1)
+			in.Used["blue"] = Amount{CPUs: 8}
+			j := job("j-2", 1, 2, nil)
+			j.Guaranteed, j.Patient = true, true
+			in.Machines, in.Jobs = []*Machine{m}, []*Job{j}
+		}, "unmet j-2 1"},
 		{"but no production service", func(in *picture) {
 			m := box("a1", 4)
 			running(m, job("j-1", 1, 4, func(s *jobs.Spec) { s.Team, s.Priority, s.Shape = "blue", jobs.Prod, jobs.Service }), 0, 1)
