Tasks that cannot complete leave a machine with notice at once

Ruled out: waiting for room (placed within 0.2 s) and fetches. Now what will most likely not complete in time, by what is known of its job's run times, begins anew at once, and a machine not heard of since its notice ended is given back without waiting for its silence.

--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -116,8 +116,8 @@
 		case m.phase == booting && now.Sub(m.known) > times(boot, l.Settings.Operator.LateBoots):
 			slog.Info("machine never came up", "machine", m.id, "term", l.token)
 			back = append(back, m)
-		case m.phase == up && !m.noticeUntil.IsZero() && now.After(m.noticeUntil) && now.Sub(m.reported) > l.Derived.Report*3/2:
-			// Announced and now silent: taken. Giving it back makes that certain,
+		case m.phase == up && !m.noticeUntil.IsZero() && now.After(m.noticeUntil) && !m.reported.After(m.noticeUntil):
+			// Announced and not heard since: taken. Giving it back makes that certain,
 			// which frees its tasks before a verdict or its lease would.
 			back = append(back, m)
 		case m.phase == up && len(m.assigned) == 0 && (m.dead || m.draining || now.Sub(m.idleSince) > l.idleTime(m)):
--- a/internal/control/picture_test.go
+++ b/internal/control/picture_test.go
@@ -368,3 +368,43 @@
 		stop()
 	})
 }
+
+// A machine that will be taken keeps what may still complete in time. What can not
+// begins anew elsewhere at once: it would be found lost only after the notice.
+func TestNotice(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		shape string
+		ran   float64 // of 30 s, in seconds
+		inS   float64
+		moved bool
+	}{
+		{"just begun", jobs.Batch, 1, 10, true},
+		{"nearly over", jobs.Batch, 29, 20, false},
+		{"just begun, long notice", jobs.Batch, 1, 60, false},
+		{"a service", jobs.Service, 100, 10, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			l, m, j, now := bench()
+			j.spec.EstimateS, j.spec.Shape = 30, tc.shape
+			l.report(report(1, 2), now)
+			task := workers.Task{Task: "j-1/0", Attempt: 101, State: workers.Running}
+			l.report(report(1, 3, task), now)
+			r := report(1, 4, task)
+			r.NoticeS = &tc.inS
+			now = now.Add(time.Duration(tc.ran * float64(time.Second)))
+			l.fresh = now
+			l.report(r, now)
+			if a := j.tasks[0]; a.stop != tc.moved {
+				t.Errorf("stopped: %v", a.stop)
+			}
+			// Not heard of after the notice, it is taken, and given back at once.
+			l.Catalog = func() []jobs.MachineType { return []jobs.MachineType{{Name: "c4", CPUs: 4, BootS: 10}} }
+			l.returning = true // a request is on its way: ours waits for it
+			l.manageFleet(t.Context(), m.noticeUntil.Add(time.Millisecond))
+			if m.phase != returning {
+				t.Error("not given back when its notice was over")
+			}
+		})
+	}
+}
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -312,8 +312,20 @@
 	if x < 0 {
 		return 0
 	}
-	longer := func(x float64) float64 { return max(math.Erfc(x/r.spread()/math.Sqrt2), 1e-300) }
-	return math.Log(longer(x-math.Log(slowFactor))) - math.Log(longer(x))
+	return math.Log(r.longer(x-math.Log(slowFactor))) - math.Log(r.longer(x))
+}
+
+// longer is the chance, times two, that a task runs for longer than a multiple of
+// its usual time, as a logarithm.
+func (r *runs) longer(x float64) float64 { return max(math.Erfc(x/r.spread()/math.Sqrt2), 1e-300) }
+
+// endsWithin is the chance that a task that has run for some time ends within so
+// much more, by how long it usually takes. All in seconds.
+func (r *runs) endsWithin(ran, more, usual float64) float64 {
+	if ran <= 0 {
+		return 1 - r.longer(math.Log(more/usual))/2
+	}
+	return 1 - r.longer(math.Log((ran+more)/usual))/r.longer(math.Log(ran/usual))
 }
 
 // spread is never taken for nothing: a few tasks may agree by chance.
--- a/internal/control/tasks.go
+++ b/internal/control/tasks.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -273,8 +274,8 @@
 	return ended
 }
 
-// notice prepares for the loss of a machine: what can save does so, and the
-// rest may still complete.
+// notice prepares for the loss of a machine: what can save does so, what may still
+// complete goes on, and the rest begins anew elsewhere at once.
 func (l *Leader) notice(m *machine, inS float64, now time.Time) {
 	if m.noticeUntil.IsZero() {
 		slog.Info("machine will be taken", "machine", m.id, "term", l.token, "inS", inS)
@@ -283,13 +284,37 @@
 	l.shelves.Remove(m.offer)
 	m.noticeUntil = now.Add(time.Duration(inS * float64(time.Second)))
 	for _, a := range m.assigned {
-		if s := a.job.spec; s.CheckpntS > 0 && s.SaveS < inS && !a.stop {
+		if a.outcome != open || a.stop {
+			continue
+		}
+		switch s := a.job.spec; {
+		case s.CheckpntS > 0 && s.SaveS < inS:
 			l.stop(a, s.SaveS)
+		case l.hopeless(a, inS, now):
+			l.stop(a, 0)
 		}
 	}
 	l.replan = true
 }
 
+// hopeless tells whether a task on a machine that will be taken should begin anew
+// elsewhere: if it stays, it most likely loses the time until then as well.
+func (l *Leader) hopeless(a *assignment, inS float64, now time.Time) bool {
+	if a.job.spec.Shape != jobs.Batch {
+		return true // it never completes
+	}
+	ran := 0.0
+	if a.seen == workers.Running {
+		ran = now.Sub(a.since).Seconds()
+	}
+	runS := l.runS(a.job.spec)
+	if usual, known := a.job.usual(); known {
+		runS = math.Exp(usual)
+	}
+	p := l.runsOf(a.job.spec.Class).endsWithin(ran, inS, runS)
+	return p*runS < (1-p)*inS
+}
+
 func (l *Leader) stop(a *assignment, grace float64) {
 	a.stop, a.grace = true, grace
 	l.dropUnsent(a)
