What has no time to begin twice avoids spot machines

Ruled out: the jobs' short tasks, which were in time when begun again. Now a task that saves nothing and whose job has no time for two runs of it goes to an ordinary machine, if one has room.

--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -194,6 +194,9 @@
 			}
 		}
 	}
+	if j.spec.Shape == jobs.Batch && j.spec.CheckpntS == 0 && p.DueS < placement.NoDeadline {
+		p.Fragile = p.DueS < 2*l.runS(j.spec)
+	}
 	if now.Sub(j.served) > l.Derived.BeginBy {
 		p.Overdue = min(j.waiting, int(math.Ceil(overdueShare*float64(j.spec.Tasks))))
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -42,6 +42,7 @@
 	Guaranteed bool           // within its team's guarantee
 	StartS     float64        // seconds left to its aim to start; 0 without one
 	Patient    bool           // others need not yet stop for its guarantee
+	Fragile    bool           // a task that loses its machine will be late
 }
 
 // Input is the whole picture. Plan uses up all but the shelves.
@@ -282,7 +283,8 @@
 }
 
 // choose returns the fullest machine that fits. A service starts sooner where
-// its image is, so that goes first for it and breaks ties for others.
+// its image is, so that goes first for it and breaks ties for others. What has no
+// time to begin twice goes to a machine that is not taken back, if one has room.
 func (in *Input) choose(j *Job) *Machine {
 	need := Of(j.Spec)
 	service := j.Spec.Shape == jobs.Service
@@ -299,8 +301,11 @@
 			fetch := m.fetch(j.Spec)
 			left := leftover(m, need)
 			key := [3]float64{0, left, fetch}
-			if service {
+			switch {
+			case service:
 				key = [3]float64{fetch, left, 0}
+			case j.Fragile && m.Spot:
+				key[0] = 1
 			}
 			if best == nil || slices.Compare(key[:], bestKey[:]) < 0 {
 				best, bestKey = m, key
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -98,6 +98,12 @@
 				job("j-2", 1, 1, func(s *jobs.Spec) { s.Types = []string{"g8"} }),
 			}
 		}, "j-1/0>a1 unmet j-2 1"},
+		{"no time to begin twice: on spot only where nothing else has room", func(in *picture) {
+			in.Machines = []*Machine{box("sa1", 2), box("b1", 4)}
+			j := job("j-1", 3, 2, nil)
+			j.Fragile = true
+			in.Jobs = []*Job{j}
+		}, "j-1/0>b1 j-1/1>b1 j-1/2>sa1"},
 		{"the team's limit stops placing and asking", func(in *picture) {
 			in.Machines = []*Machine{box("a1", 4), box("a2", 4), box("a3", 4)}
 			in.Used["red"] = Amount{CPUs: 6}
