A job's wait goes on under a new leader; starts that do not last do not end it

Ruled out: lost machines, team limits. Now a wait lasts from acceptance until a task has completed or run for 30 s, and what a new leader finds of such a job is kept. By test: a job that waits while leaders change every 80 s begins within four minutes; before, it did not begin at all.

--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -317,7 +317,9 @@
 		}
 		l.show(j)
 		l.queue(j)
-		l.arrived(j, time.Duration(now.UnixMilli()-j.atMs)*time.Millisecond, now)
+		age := time.Duration(now.UnixMilli()-j.atMs) * time.Millisecond
+		l.arrived(j, age, now)
+		l.remember(j, age, now)
 	}
 	l.replan, l.uncovered = true, true
 	l.raisedAt = now
--- a/internal/control/model.go
+++ b/internal/control/model.go
@@ -30,7 +30,7 @@
 	waiting   int                 // tasks that wait for a machine
 	running   int                 // tasks seen running
 	zones     map[string]int
-	served    time.Time // when a task was last placed, or the job became known
+	served    time.Time // when a task was last found to have lasted, or the job was accepted
 	covered   bool      // within its team's guarantee
 	coveredAt time.Time // since when
 	tooks     []float64 // how long its completed tasks ran, as logarithms, in order
--- a/internal/control/picture_test.go
+++ b/internal/control/picture_test.go
@@ -408,3 +408,30 @@
 		})
 	}
 }
+
+// A job whose tasks are stopped again soon after they start has got nothing: it
+// would wait for ever if each of them began its wait anew.
+func TestStartsThatDoNotLast(t *testing.T) {
+	l, _, j, now := bench()
+	l.report(report(1, 2), now)
+	task := workers.Task{Task: "j-1/0", Attempt: 101, State: workers.Running}
+	late := now.Add(l.Derived.BeginBy)
+	l.fresh = late
+	l.report(report(1, 3, task), late)
+	a := j.tasks[0]
+	if n := l.overdue(j, late.Add(time.Second)); n != 1 {
+		t.Errorf("with a task that has just begun: %d go first", n)
+	}
+	a.overdue = true
+	if n := l.overdue(j, late.Add(time.Second)); n != 0 {
+		t.Errorf("with one ahead already: %d go first", n)
+	}
+	l.stop(a, 5)
+	if n := l.overdue(j, late.Add(time.Second)); n != 1 {
+		t.Errorf("when it has to stop again: %d go first", n)
+	}
+	a.stop = false
+	if n := l.overdue(j, late.Add(l.Derived.Lasting+time.Second)); n != 0 {
+		t.Errorf("with a task that has lasted: %d go first", n)
+	}
+}
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -197,12 +197,46 @@
 	if j.spec.Shape == jobs.Batch && j.spec.CheckpntS == 0 && p.DueS < placement.NoDeadline {
 		p.Fragile = p.DueS < 2*l.runS(j.spec)
 	}
-	if now.Sub(j.served) > l.Derived.BeginBy {
-		p.Overdue = min(j.waiting, int(math.Ceil(overdueShare*float64(j.spec.Tasks))))
-	}
+	p.Overdue = l.overdue(j, now)
 	return p
 }
 
+// overdue is how many tasks of a job go first because it has got nothing for too
+// long. A task that was stopped again soon after its start is nothing.
+func (l *Leader) overdue(j *job, now time.Time) int {
+	if now.Sub(j.served) <= l.Derived.BeginBy {
+		return 0
+	}
+	ahead := 0
+	for _, a := range j.tasks {
+		switch {
+		case a.outcome != open || a.stop:
+		case a.restored:
+			return 0 // for as long as an earlier leader's is there
+		case a.seen == workers.Running && now.Sub(a.since) > l.Derived.Lasting:
+			j.served = now
+			return 0
+		case a.overdue:
+			ahead++
+		}
+	}
+	return max(0, min(j.waiting, mostAhead(j)-ahead))
+}
+
+func mostAhead(j *job) int { return int(math.Ceil(overdueShare * float64(j.spec.Tasks))) }
+
+// remember counts a job's age under earlier leaders: with each new one, its wait
+// would begin anew. What it has by now may be there because it went first.
+func (l *Leader) remember(j *job, age time.Duration, now time.Time) {
+	j.served = now.Add(-max(0, age))
+	if now.Sub(j.served) <= l.Derived.BeginBy || len(j.tasks) > mostAhead(j) {
+		return
+	}
+	for _, a := range j.tasks {
+		a.overdue = true
+	}
+}
+
 // planShare bounds the part of the time that planning takes: reports, renewals
 // and cancellations have to get through as well.
 const planShare = 0.2
@@ -256,7 +290,6 @@
 	}
 	for _, as := range out.Assign {
 		j := back[as.Job]
-		j.served = now
 		l.assign(j, j.take(), l.machines[as.Machine.ID], now).overdue = as.Overdue
 	}
 	l.unmet = out.Unmet
--- a/internal/control/tasks.go
+++ b/internal/control/tasks.go
@@ -227,7 +227,7 @@
 	j, m := a.job, a.m
 	switch {
 	case t.Cause == workers.CauseDone && j.spec.Shape == jobs.Batch:
-		j.errors = 0
+		j.errors, j.served = 0, now
 		clear(m.failures)
 		l.ran(a, now)
 		l.over(a, success)
--- a/internal/node/trouble_test.go
+++ b/internal/node/trouble_test.go
@@ -282,21 +282,38 @@
 // Jobs of higher priority keep coming and take every machine. What is of the
 // lowest priority, and has the largest tasks, begins within four minutes.
 func TestNobodyStarves(t *testing.T) {
-	inCluster(t, nil, func(c *cluster) {
-		c.world.Capacity(2)
-		last := batch("j-1", 3, 10)
-		last.Priority, last.CPUs, last.Team = jobs.BestEffort, 4, "red"
-		c.submit("perch-0", last)
-		began := false
-		for i := range 48 {
-			c.submit("perch-1", batch(fmt.Sprintf("j-1%02d", i), 8, 9))
-			c.run(5 * time.Second)
-			began = began || c.on("j-1", 3) > 0
-		}
-		if !began {
-			t.Error("did not begin in four minutes")
-		}
-	})
+	for _, tc := range []struct {
+		name    string
+		crashes time.Duration // the leader does so once in so long
+	}{
+		{"one leader", time.Hour},
+		{"leaders come and go", 80 * time.Second},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			inCluster(t, nil, func(c *cluster) {
+				c.world.Capacity(2)
+				last := batch("j-1", 3, 10)
+				last.Priority, last.CPUs, last.Team = jobs.BestEffort, 4, "red"
+				c.submit("perch-0", last)
+				began, crashed := false, time.Now()
+				for i := range 48 {
+					if time.Since(crashed) > tc.crashes {
+						crashed = time.Now()
+						old := c.leader()
+						c.crash(old)
+						c.start(old)
+						c.run(2 * time.Second)
+					}
+					c.submit("perch-1", batch(fmt.Sprintf("j-1%02d", i), 8, 9))
+					c.run(5 * time.Second)
+					began = began || c.on("j-1", 3) > 0
+				}
+				if !began {
+					t.Error("did not begin in four minutes")
+				}
+			})
+		})
+	}
 }
 
 // Every poll for every job is answered, however many there are: all together
--- a/internal/settings/derived.go
+++ b/internal/settings/derived.go
@@ -45,6 +45,7 @@
 	FlushGap    time.Duration // least time between two transactions of the leader
 	PollGap     time.Duration // least time between two reads for users' polls
 	BeginBy     time.Duration // a job that got nothing for so long goes first
+	Lasting     time.Duration // a start counts if the task is not stopped for so long
 
 	TxnOps      int
 	ValueBytes  int
@@ -67,6 +68,10 @@
 // largestBegin is by when even the largest jobs must have begun, from the protocol.
 const largestBegin = 4 * time.Minute
 
+// lasting is how long a task must not be stopped for its start to count, from the
+// protocol.
+const lasting = 30 * time.Second
+
 func times(d time.Duration, ratio float64) time.Duration {
 	return time.Duration(float64(d) * ratio)
 }
@@ -118,6 +123,7 @@
 		// All nodes together spend a part of the reads on polls.
 		PollGap: seconds(pollReads * float64(d.Nodes) / (pollShare * d.State.RPS)),
 		BeginBy: largestBegin / 2,
+		Lasting: lasting,
 
 		TxnOps:      d.State.TxnOps,
 		ValueBytes:  value,
