--- a/internal/control/scale_test.go
+++ b/internal/control/scale_test.go
@@ -17,6 +17,9 @@
 	"ospreyslip/internal/workers"
 )
 
+// largest is half as many machines again as the largest fleet the operators plan.
+const largest = 2900
+
 // fleetOf is a leader with a fleet in which every machine runs one task that
 // fills it, and what each worker reports.
 func fleetOf(tb testing.TB, size int) (*Leader, []*workers.Report, time.Time) {
@@ -68,13 +71,13 @@
 		}
 		return n
 	}
-	if few, many := cost(25), cost(2500); few != many {
-		t.Errorf("%v allocations a report in a fleet of 25, %v in one of 2500", few, many)
+	if few, many := cost(25), cost(largest); few != many {
+		t.Errorf("%v allocations a report in a fleet of 25, %v in one of %d", few, many, largest)
 	}
 }
 
 func BenchmarkReport(b *testing.B) {
-	l, reports, now := fleetOf(b, 2500)
+	l, reports, now := fleetOf(b, largest)
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
 		again(l, reports[i%len(reports)], now)
@@ -83,7 +86,7 @@
 
 // BenchmarkPlan places one job's tasks that find no room, and one that does.
 func BenchmarkPlan(b *testing.B) {
-	l, reports, now := fleetOf(b, 2500)
+	l, reports, now := fleetOf(b, largest)
 	idle := &workers.Report{Machine: "m-900000", Type: "c4", Zone: "a", Session: 1, Seq: 1, Token: 5}
 	l.report(idle, now)
 	l.queue(l.jobs["j-7"])
@@ -102,9 +105,21 @@
 	}
 }
 
-// BenchmarkTakeOver reads a book of 2500 machines.
+// BenchmarkTick looks after all machines while nothing happens, a fleet that is
+// planned for anew among it.
+func BenchmarkTick(b *testing.B) {
+	l, _, now := fleetOf(b, largest)
+	l.Publish = func(map[string]jobs.Counts) {}
+	l.listSyncAt = now.Add(time.Hour) // nothing is rented
+	for b.Loop() {
+		l.fleetAt = time.Time{}
+		l.tick(b.Context(), now)
+	}
+}
+
+// BenchmarkTakeOver reads a book of all machines.
 func BenchmarkTakeOver(b *testing.B) {
-	l, _, now := fleetOf(b, 2500)
+	l, _, now := fleetOf(b, largest)
 	written := map[string]state.Pair{}
 	for rev := uint64(1); l.book.waiting(); rev++ {
 		l.book.grow()
@@ -136,7 +151,7 @@
 			jobs: map[string]*job{"j-7": newJob("j-7", &s, 1, 0, now)},
 		}
 		next.restore(next.readBook(pairs), nil, now)
-		if len(next.machines) != 2500 {
+		if len(next.machines) != largest {
 			b.Fatalf("%d machines restored", len(next.machines))
 		}
 	}
