--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -64,19 +65,64 @@
 	})
 }
 
+// Whatever ends the controllers, all at once, twice within a worker lease, one after
+// the other in a burst, or in an outage of the state service: the work goes on, and
+// no task begins twice.
 func TestAllControllersRestart(t *testing.T) {
-	inCluster(t, nil, func(c *cluster) {
-		c.allUp()
+	all := func(c *cluster, down time.Duration) {
 		c.crash(c.names...)
-		c.run(3 * time.Second)
+		c.run(down)
 		for _, n := range c.names {
 			c.start(n)
 		}
-		c.withinDone(120*time.Second, "j-2")
-		if c.on("j-1", 2) != 2 || c.world.Starts() != 8 {
-			t.Errorf("%d starts for 8 tasks", c.world.Starts())
-		}
-	})
+	}
+	for _, tc := range []struct {
+		name    string
+		trouble func(c *cluster)
+		tasks   int // that are submitted meanwhile
+	}{
+		{"at once", func(c *cluster) { all(c, 3*time.Second) }, 0},
+		{"back in a moment", func(c *cluster) { all(c, 200*time.Millisecond) }, 0},
+		{"twice within a lease", func(c *cluster) {
+			all(c, 3*time.Second)
+			c.run(4 * time.Second)
+			all(c, 3*time.Second)
+		}, 0},
+		{"in mid-election", func(c *cluster) {
+			all(c, 3*time.Second)
+			c.run(1500 * time.Millisecond)
+			all(c, 200*time.Millisecond)
+		}, 0},
+		{"one after the other in a burst", func(c *cluster) {
+			for i, n := range c.names {
+				c.submit(c.names[(i+1)%len(c.names)], batch(fmt.Sprintf("j-1%d", i), 8, 9))
+				c.crash(n)
+				c.run(2 * time.Second)
+				c.start(n)
+				c.submit(c.names[(i+1)%len(c.names)], batch(fmt.Sprintf("j-2%d", i), 8, 9))
+				c.run(5 * time.Second)
+			}
+		}, 48},
+		{"in an outage of the state service", func(c *cluster) {
+			c.world.State.Down(true)
+			c.run(3 * time.Second)
+			all(c, time.Second)
+			c.run(3 * time.Second)
+			c.world.State.Down(false)
+		}, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			inCluster(t, nil, func(c *cluster) {
+				c.allUp()
+				tc.trouble(c)
+				c.withinDone(120*time.Second, "j-2")
+				c.run(60 * time.Second)
+				if starts := c.world.Starts(); c.on("j-1", 2) != 2 || starts != 8+tc.tasks {
+					t.Errorf("%d starts for %d tasks", starts, 8+tc.tasks)
+				}
+			})
+		})
+	}
 }
 
 // A machine without power is confirmed by a failed call and given back, which
