Machines with production tasks are called and judged first

Ruled out: room and images elsewhere (placed at once when freed). The pace of verdicts stays as it is; their order is by what depends on a machine.

--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -200,12 +200,12 @@
 		jobs: map[string]*job{}, machines: map[string]*machine{}, used: map[string]placement.Amount{},
 		queued: map[*job]bool{}, renting: map[fleet.Kind]int{}, refused: map[fleet.Kind]refusal{}, gone: map[string]time.Time{}, runs: map[string]*runs{},
 		attempts: t.Token << 24,
-		watch: liveness.New(liveness.Config{
-			SilentFor: d.Derived.SilentFor, LeaseOver: d.Derived.LeaseOver,
-			HoldGrace: d.Derived.HoldGrace, Gap: d.Derived.VerdictGap, ZoneSize: smallZone,
-			Overdue: d.Derived.Overdue, Dark: d.Derived.ZoneDark,
-		}),
 	}
+	l.watch = liveness.New(liveness.Config{
+		SilentFor: d.Derived.SilentFor, LeaseOver: d.Derived.LeaseOver,
+		HoldGrace: d.Derived.HoldGrace, Gap: d.Derived.VerdictGap, ZoneSize: smallZone,
+		Overdue: d.Derived.Overdue, Dark: d.Derived.ZoneDark, Weight: l.services,
+	})
 	ctx, stop := context.WithCancel(ctx)
 	var duties sync.WaitGroup
 	defer func() {
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -7,6 +7,7 @@
 	"net"
 	"time"
 
+	"ospreyslip/internal/jobs"
 	"ospreyslip/internal/liveness"
 	"ospreyslip/internal/workers"
 )
@@ -220,6 +221,19 @@
 	}
 }
 
+// services is how many production tasks a machine has: their users wait, while
+// other work is only late.
+func (l *Leader) services(id string) (n int) {
+	if m := l.machines[id]; m != nil {
+		for _, a := range m.assigned {
+			if a.outcome == open && a.job.spec.Priority == jobs.Prod {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // pictureAge is how old the picture of users' wishes may be.
 func (l *Leader) pictureAge(now time.Time) time.Duration {
 	if p := l.Proven(); p.After(l.fresh) {
--- a/internal/liveness/liveness.go
+++ b/internal/liveness/liveness.go
@@ -5,6 +5,7 @@
 package liveness
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -19,6 +20,9 @@
 	// A machine whose report is overdue, or of whose zone nobody is heard, is
 	// called before it has been silent for as long as SilentFor.
 	Overdue, Dark time.Duration
+	// Weight tells how much depends on a machine: the more, the earlier its turn to
+	// be called and judged. Nil takes all for equal.
+	Weight func(id string) int
 }
 
 // Counter orders the messages of one worker.
@@ -252,7 +256,7 @@
 		// nothing about the others, and it may not hold them up again.
 		m.floor, m.dawdles = Counter{}, true
 	}
-	slices.Sort(ids)
+	w.order(ids)
 	for _, id := range ids {
 		m := w.machines[id]
 		if m.confirmed == "" {
@@ -276,6 +280,19 @@
 	return calls, verdicts
 }
 
+// order puts the machines on which most depends first.
+func (w *Watch) order(ids []string) {
+	weights := make(map[string]int, len(ids))
+	for _, id := range ids {
+		if w.cfg.Weight != nil {
+			weights[id] = w.cfg.Weight(id)
+		}
+	}
+	slices.SortFunc(ids, func(a, b string) int {
+		return cmp.Or(cmp.Compare(weights[b], weights[a]), cmp.Compare(a, b))
+	})
+}
+
 // CallDone takes in the outcome of a call that Tick asked for.
 func (w *Watch) CallDone(id string, ok bool, c Counter, now time.Time) {
 	m := w.machines[id]
--- a/internal/liveness/trace_test.go
+++ b/internal/liveness/trace_test.go
@@ -22,6 +22,7 @@
 //	3    answered m-1 1/7      an order's answer
 //	4    suspect m-1           there are signs that it is gone
 //	4    deaf m-1              it does not hear our answers
+//	4    weighs m-1 2          so much depends on it
 //	4    call m-1 failed       outcome of a call
 //	4    call m-1 1/6
 //	5    tick = call m-1; dead m-2 call failed; held; disrupted
@@ -49,6 +50,8 @@
 	if raw, err := os.ReadFile(file); err != nil || strings.Contains(string(raw), "(dark)") {
 		cfg.Dark = 2 * time.Second // elsewhere zones are too small for it to matter
 	}
+	weights := map[string]int{}
+	cfg.Weight = func(id string) int { return weights[id] }
 	w := New(cfg)
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	lines := bufio.NewScanner(in)
@@ -77,6 +80,8 @@
 			w.Suspect(f[2])
 		case "deaf":
 			w.Deaf(f[2])
+		case "weighs":
+			weights[f[2]], _ = strconv.Atoi(f[3])
 		case "forget":
 			w.Forget(f[2])
 		case "call":
