Only arrays are taken for what went first; services stay while others wait for room

Reread: after a take-over a service of one replica that had waited for long was kept from others' guarantees for good, and a replica on a machine with notice gave up its seconds there though nothing had room for it.

--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -229,7 +229,7 @@
 // would begin anew. What it has by now may be there because it went first.
 func (l *Leader) remember(j *job, age time.Duration, now time.Time) {
 	j.served = now.Add(-max(0, age))
-	if now.Sub(j.served) <= l.Derived.BeginBy || len(j.tasks) > mostAhead(j) {
+	if j.spec.Shape != jobs.Batch || now.Sub(j.served) <= l.Derived.BeginBy || len(j.tasks) > mostAhead(j) {
 		return
 	}
 	for _, a := range j.tasks {
--- a/internal/control/tasks.go
+++ b/internal/control/tasks.go
@@ -301,7 +301,7 @@
 // elsewhere: if it stays, it most likely loses the time until then as well.
 func (l *Leader) hopeless(a *assignment, inS float64, now time.Time) bool {
 	if a.job.spec.Shape != jobs.Batch {
-		return true // it never completes
+		return len(l.unmet) == 0 // it never completes; while others wait it would, too
 	}
 	ran := 0.0
 	if a.seen == workers.Running {
