Of arrays that wait alike, a machine goes to the one whose image it has

Ruled out: the way from a task's end to the next placement (0.06 s in the middle), refusals of the cloud (tried, no effect).

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"container/heap"
+	"math"
 	"slices"
 
 	"ospreyslip/internal/jobs"
@@ -172,8 +173,17 @@
 		}
 	}
 	slices.SortStableFunc(queue, before)
-	for _, t := range queue {
-		in.take(t, &out)
+	for len(queue) > 0 {
+		n := neighbours(queue)
+		if n > 1 {
+			for _, t := range queue[:n] {
+				in.fill(t, &out, true)
+			}
+		}
+		for _, t := range queue[:n] {
+			in.take(t, &out)
+		}
+		queue = queue[n:]
 	}
 	for m, free := range in.touched {
 		in.Shelves.Set(m, free)
@@ -181,9 +191,54 @@
 	return out
 }
 
+// mostNeighbours is how many jobs next to each other in the queue share machines by
+// the images that these have.
+const mostNeighbours = 8
+
+// neighbours is how many jobs at the head of the queue differ only in how soon they
+// are due. Where machines are scarce, each that falls free goes to the one of them
+// whose image it has: among jobs that all wait, fetches are what can be saved.
+func neighbours(queue []turn) int {
+	a, n := queue[0], 1
+	if a.Spec.Shape != jobs.Batch {
+		return n
+	}
+	for n < min(len(queue), mostNeighbours) {
+		b := queue[n]
+		if b.Spec.Shape != a.Spec.Shape || b.Spec.Rank() != a.Spec.Rank() || b.overdue != a.overdue || b.Guaranteed != a.Guaranteed || stage(b.Job) != stage(a.Job) {
+			break
+		}
+		n++
+	}
+	return n
+}
+
 // take gives a job its turn.
 func (in *Input) take(t turn, out *Output) {
-	j, want := t.Job, t.Waiting
+	j, want := t.Job, in.fill(t, out, false)
+	left := in.roomInLimit(j, want)
+	if left <= 0 {
+		return
+	}
+	made := in.makeRoom(j, left, out, nil)
+	left -= made
+	j.Waiting -= made
+	if t.overdue {
+		// What is too large for the room that others leave now and then would
+		// wait for ever: a machine is kept from them until it has that room.
+		left -= in.setAside(j, left)
+		return
+	}
+	if left > 0 {
+		out.Unmet = append(out.Unmet, Demand{j, left})
+	}
+}
+
+// fill puts a job's tasks on machines with room, only on those with its image if
+// so asked, and returns how many are left.
+func (in *Input) fill(t turn, out *Output, cached bool) (want int) {
+	j := t.Job
+	want = j.Waiting
 	if t.overdue {
 		want = min(want, j.Overdue)
 	}
@@ -191,7 +246,7 @@
 		if in.roomInLimit(j, 1) == 0 {
 			break // no machine would help
 		}
-		m := in.choose(j)
+		m := in.choose(j, cached)
 		if m == nil {
 			break
 		}
@@ -207,23 +262,11 @@
 		out.Assign = append(out.Assign, Assignment{j, m, t.overdue})
 		want--
 		j.Waiting--
+		if t.overdue {
+			j.Overdue--
+		}
 	}
-	left := in.roomInLimit(j, want)
-	if left <= 0 {
-		return
-	}
-	made := in.makeRoom(j, left, out, nil)
-	left -= made
-	j.Waiting -= made
-	if t.overdue {
-		// What is too large for the room that others leave now and then would
-		// wait for ever: a machine is kept from them until it has that room.
-		left -= in.setAside(j, left)
-		return
-	}
-	if left > 0 {
-		out.Unmet = append(out.Unmet, Demand{j, left})
-	}
+	return want
 }
 
 // setAside keeps others off the machines with most room.
@@ -284,12 +327,14 @@
 
 // choose returns the fullest machine that fits. A service starts sooner where
 // its image is, so that goes first for it and breaks ties for others. What has no
-// time to begin twice goes to a machine that is not taken back, if one has room.
-func (in *Input) choose(j *Job) *Machine {
+// time to begin twice goes to a machine that is not taken back, if one has room. If
+// so asked, it returns nil unless such a machine has the image.
+func (in *Input) choose(j *Job, cached bool) *Machine {
 	need := Of(j.Spec)
 	service := j.Spec.Shape == jobs.Service
 	var best *Machine
 	var bestKey [3]float64
+	least := math.Inf(1) // that any machine would have left
 	for _, s := range in.Shelves.kinds {
 		if !j.Spec.Allows(s.typ, s.zone, s.spot) || !ZoneOpen(j.Spec, j.Zones, s.zone) {
 			continue
@@ -298,8 +343,11 @@
 			if !m.open(j) || !m.Free.Fits(need) {
 				return true
 			}
-			fetch := m.fetch(j.Spec)
 			left := leftover(m, need)
+			if least = min(least, left); cached && !m.Images[j.Spec.Image] {
+				return left <= least
+			}
+			fetch := m.fetch(j.Spec)
 			key := [3]float64{0, left, fetch}
 			switch {
 			case service:
@@ -314,6 +362,9 @@
 			return fetch > 0 && (service || left == bestKey[1])
 		})
 	}
+	if cached && best != nil && bestKey[1] > least {
+		return nil // an image is no reason to open an emptier machine
+	}
 	return best
 }
 
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -104,6 +104,21 @@
 			j.Fragile = true
 			in.Jobs = []*Job{j}
 		}, "j-1/0>b1 j-1/1>b1 j-1/2>sa1"},
+		{"of two that wait alike, the one whose image a machine has", func(in *picture) {
+			m := box("a1", 4)
+			m.Images["b"] = true
+			in.Machines = []*Machine{m}
+			image := func(name string) func(*jobs.Spec) { return func(s *jobs.Spec) { s.Image = name } }
+			in.Jobs = []*Job{job("j-1", 1, 4, image("a")), job("j-2", 1, 4, image("b"))}
+		}, "j-2/0>a1 unmet j-1 1"},
+		{"but never before what is more important", func(in *picture) {
+			m := box("a1", 4)
+			m.Images["b"] = true
+			in.Machines = []*Machine{m}
+			first, second := job("j-1", 1, 4, func(s *jobs.Spec) { s.Image = "a" }), job("j-2", 1, 4, func(s *jobs.Spec) { s.Image = "b" })
+			first.Guaranteed = true
+			in.Jobs = []*Job{second, first}
+		}, "j-1/0>a1 unmet j-2 1"},
 		{"the team's limit stops placing and asking", func(in *picture) {
 			in.Machines = []*Machine{box("a1", 4), box("a2", 4), box("a3", 4)}
 			in.Used["red"] = Amount{CPUs: 6}
