Limits to come: all is written within them, and large pages of the book are moved onward

state.next in the settings names limits that hold from some unknown moment on. The smaller of the present and the next one counts from the first moment, for values, changes a transaction and rates; what stored records are laid out by (ChunkTasks) follows the present ones. A page of the old size is written over when what stands on it alone fits; until then parts of it move to new pages in front of it, so that it stays the oldest and no end is undone. Sizes of pages are exact. A 400 is told from other refusals and not repeated as it is. The catalog in parts, a cancelled job's record and a submission with many types fit into a small value, too.

--- a/internal/control/book.go
+++ b/internal/control/book.go
@@ -6,7 +6,9 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"math"
 	"slices"
+	"strconv"
 	"strings"
 
 	"ospreyslip/internal/jobs"
@@ -25,6 +27,7 @@
 const (
 	leastPages = 16 // pages of a new book
 	carryShare = 8  // a page is meant to carry no more than such a part of what it can hold
+	leastCarry = 4  // or this many assignments, where pages are small
 )
 
 // pageRecord is one page in the state service.
@@ -47,11 +50,13 @@
 	Tasks   []taskRecord `json:"tasks"`
 }
 
-// taskRecord is one assignment. Its attempt is unique among all tasks.
+// taskRecord is one assignment. Its attempt is unique among all tasks. Workers
+// know the tasks of a gang by a number that they have in common.
 type taskRecord struct {
 	Job     string `json:"j"`
 	N       int    `json:"n"`
 	Attempt uint64 `json:"a"`
+	Gang    uint64 `json:"g,omitempty"`
 }
 
 // doneRecord is the completions of one chunk of a job's tasks.
@@ -65,21 +70,24 @@
 type page struct {
 	key   string
 	mark  uint64
+	bytes int // as it stands there
 	begun map[uint64]*assignment
 	done  map[chunkRef]bool
 }
 
-func newPage(i int, mark uint64) *page {
-	return &page{key: fmt.Sprintf("%s%d", bookPrefix, i), mark: mark, begun: map[uint64]*assignment{}, done: map[chunkRef]bool{}}
+func newPage(key string, mark uint64) *page {
+	return &page{key: key, mark: mark, begun: map[uint64]*assignment{}, done: map[chunkRef]bool{}}
 }
 
 // book is the ring, the oldest page first.
 type book struct {
 	pages  []*page
-	number uint64  // of the newest page
-	most   int     // bytes on a page
-	carry  float64 // what pages have carried along lately, in bytes
-	again  int     // pages that the next transaction has to write once more
+	keys   map[string]bool // of all pages
+	number uint64          // of the newest page
+	most   int             // bytes on a page
+	carry  float64         // what pages have carried along lately, in bytes
+	again  int             // pages that the next transaction has to write once more
+	open   bool            // the outcome of an earlier transaction is not known
 
 	begins []*assignment // to be written
 	ends   []*assignment
@@ -100,12 +108,31 @@
 	return k.again > 0 || len(k.begins)+len(k.ends)+len(k.chunks)+len(k.deaths) > 0
 }
 
+// blank makes a page that was never written. Names leave no gaps, as a version
+// before this one names the next page by the length of the ring.
+func (k *book) blank() *page {
+	if k.keys == nil {
+		k.keys = map[string]bool{}
+	}
+	for i := 0; ; i++ {
+		if key := fmt.Sprintf("%s%d", bookPrefix, i); !k.keys[key] {
+			k.keys[key] = true
+			return newPage(key, 0)
+		}
+	}
+}
+
 // grow makes the ring longer where pages carry too much. An empty page is the
 // oldest: it is written next. While the outcome of a transaction is open the
 // pages that it wrote must be the next again.
-func (k *book) grow() {
-	if k.again == 0 && k.carry > float64(k.most/carryShare) {
-		k.pages = slices.Insert(k.pages, 0, newPage(len(k.pages), 0))
+func (k *book) grow(most int) {
+	limit := float64(max(k.most/carryShare, leastCarry*usualBytes))
+	for ; k.again == 0 && k.carry > limit && most > 0; most-- {
+		blank := 0
+		for blank < len(k.pages) && k.pages[blank].mark == 0 {
+			blank++
+		}
+		k.pages = slices.Insert(k.pages, blank, k.blank())
 		k.carry *= float64(len(k.pages)-1) / float64(len(k.pages))
 	}
 }
@@ -128,16 +155,42 @@
 
 func (d *draft) fits(bytes int) bool { return d.size+bytes <= d.most }
 
-// Bytes of the parts of a page, at most.
+// Bytes of the parts of a page, but for names and numbers.
 const (
-	overBytes  = 21
-	taskBytes  = 56
-	beginBytes = 120
-	chunkBytes = 32
+	pageBytes  = len(`{"number":18446744073709551615,"begun":[],"over":[],"done":[],"dead":[]}`)
+	beginBytes = len(`{"m":"","addr":"","type":"","zone":"","spot":true,"session":,"tasks":[]},`)
+	taskBytes  = len(`{"j":"","n":,"a":,"g":},`)
+	chunkBytes = len(`{"j":"","c":,"b":""},`)
+	usualBytes = 2 * (beginBytes + taskBytes) // of an assignment with its names
 )
 
+// textBytes is how long a text is in JSON, without its quotes.
+func textBytes(s string) (n int) {
+	for i := range len(s) {
+		if c := s[i]; c < ' ' || c >= 0x7f || c == '"' || c == '\\' || c == '<' || c == '>' || c == '&' {
+			n += len(`\u0000`)
+		} else {
+			n++
+		}
+	}
+	return n
+}
+
+func digits(n uint64) int { return len(strconv.FormatUint(n, 10)) }
+
+func taskSize(a *assignment) int {
+	return taskBytes + textBytes(a.job.id) + digits(uint64(a.n)) + digits(a.attempt) + digits(a.gang)
+}
+
 func beginSize(a *assignment) int {
-	return beginBytes + len(a.m.id) + len(a.m.addr) + len(a.m.typ) + len(a.m.zone) + taskBytes + len(a.job.id)
+	m := a.m
+	return beginBytes + textBytes(m.id) + textBytes(m.addr) + textBytes(m.typ) + textBytes(m.zone) + digits(a.session) + taskSize(a)
+}
+
+func overSize(a *assignment) int { return digits(a.attempt) + 1 }
+
+func chunkSize(ref chunkRef, bits string) int {
+	return chunkBytes + textBytes(ref.j.id) + digits(uint64(ref.c)) + len(bits)
 }
 
 func (d *draft) begin(a *assignment) {
@@ -149,49 +202,116 @@
 		d.rec.Begun = append(d.rec.Begun, begunRecord{Machine: m.id, Addr: m.addr, Type: m.typ, Zone: m.zone, Spot: m.spot, Session: a.session})
 		d.size += beginSize(a)
 	} else {
-		d.size += taskBytes + len(a.job.id)
+		d.size += taskSize(a)
 	}
-	d.rec.Begun[i].Tasks = append(d.rec.Begun[i].Tasks, taskRecord{a.job.id, a.n, a.attempt})
+	d.rec.Begun[i].Tasks = append(d.rec.Begun[i].Tasks, taskRecord{a.job.id, a.n, a.attempt, a.gang})
 	d.kept = append(d.kept, a)
 }
 
 func (d *draft) chunk(ref chunkRef, bits string) {
 	d.rec.Done = append(d.rec.Done, doneRecord{ref.j.id, ref.c, bits})
-	d.size += chunkBytes + len(ref.j.id) + len(bits)
+	d.size += chunkSize(ref, bits)
 	d.done = append(d.done, ref)
 }
 
+// carry puts on a draft what is still true of a page, or as much of it as fits
+// within so many bytes.
+func (l *Leader) carry(b *batch, d *draft, p *page, most int) {
+	for _, attempt := range sorted(p.begun) {
+		a := p.begun[attempt]
+		switch {
+		case a.closing || a.moving || l.recordable(b, a):
+		case d.size+beginSize(a) <= most:
+			d.begin(a)
+		}
+	}
+	for ref := range p.done {
+		ch := ref.j.chunks[ref.c]
+		if ch == nil || ch.home != p || ch.moving || ref.j.over() {
+			continue
+		}
+		bits := ref.j.chunkBits(ref.c, l.Derived.ChunkTasks)
+		switch size := chunkSize(ref, bits); {
+		case pageBytes+size > l.book.most:
+			ch.saved = false // no page holds it any more: see fill
+		case d.size+size <= most:
+			d.chunk(ref, bits)
+		}
+	}
+}
+
+// heavy tells whether what stands on a page may be more than can be written at a
+// time: it is from before the state service's limits fell, or were to fall. What
+// is over by now counts as well: should the transaction fail, its end may have to
+// wait for the next.
+func (l *Leader) heavy(p *page) bool {
+	if p.bytes <= l.book.most {
+		return false
+	}
+	d := &draft{size: pageBytes, at: map[*machine]int{}}
+	for _, a := range p.begun {
+		if !a.moving {
+			d.begin(a)
+		}
+	}
+	for ref := range p.done {
+		if ch := ref.j.chunks[ref.c]; ch != nil && ch.home == p && !ch.moving {
+			d.size += chunkSize(ref, ref.j.chunkBits(ref.c, l.Derived.ChunkTasks))
+		}
+	}
+	return d.size > l.book.most*7/8
+}
+
+// ease moves a part of the first heavy page behind the i-th onward to a draft. It
+// is written over only when the rest fits: until then it stays the oldest, so that
+// the ends of what was moved, which are on later pages, outlast it.
+func (l *Leader) ease(b *batch, d *draft, i int) {
+	for _, p := range l.book.pages[i+1 : min(i+1+l.Derived.TxnOps, len(l.book.pages))] {
+		if len(p.begun)+len(p.done) == 0 {
+			continue // never written, or outcome open
+		}
+		if l.heavy(p) {
+			kept, done := len(d.kept), len(d.done)
+			if l.carry(b, d, p, d.most/2); len(d.kept)+len(d.done) == 0 {
+				l.carry(b, d, p, d.most) // what takes more than half of a page
+			}
+			for _, a := range d.kept[kept:] {
+				a.moving = true
+			}
+			for _, ref := range d.done[done:] {
+				ref.j.chunks[ref.c].moving = true
+			}
+		}
+		return
+	}
+}
+
 // addPage writes the i-th oldest page: what is still true of it, then what is
-// new, as far as there is room for it.
+// new, as far as there is room for it. In front of a heavy page it adds one.
 func (l *Leader) addPage(b *batch, i int, fresh bool) {
 	k := &l.book
+	if i >= k.again && l.heavy(k.pages[i]) {
+		k.pages = slices.Insert(k.pages, i, k.blank())
+	}
 	p := k.pages[i]
-	d := &draft{rec: pageRecord{Number: k.number + uint64(i) + 1}, most: min(k.most, txnBytes-b.bytes), at: map[*machine]int{}}
+	d := &draft{rec: pageRecord{Number: k.number + uint64(i) + 1}, size: pageBytes, most: min(k.most, txnBytes-b.bytes), at: map[*machine]int{}}
 	for _, attempt := range sorted(p.begun) {
-		a := p.begun[attempt]
-		switch {
-		case a.closing:
-		case l.recordable(b, a):
+		if a := p.begun[attempt]; !a.closing && l.recordable(b, a) {
 			// Its beginning stood here only, so that nothing needs to be said.
 			a.closing = true
 			d.gone = append(d.gone, a)
-		default:
-			d.begin(a)
 		}
 	}
-	for ref := range p.done {
-		if ch := ref.j.chunks[ref.c]; ch != nil && ch.home == p && !ref.j.over() {
-			d.chunk(ref, ref.j.chunkBits(ref.c, l.Derived.ChunkTasks))
-		}
-	}
-	k.carry += (float64(d.size) - k.carry) / float64(len(k.pages))
+	l.carry(b, d, p, math.MaxInt)
+	k.carry += (float64(d.size-pageBytes) - k.carry) / float64(len(k.pages))
+	l.ease(b, d, i)
 	if fresh {
 		l.fill(b, d)
 	}
 	raw, _ := json.Marshal(d.rec)
 	b.add(p.key, p.mark, raw, func(mark uint64) { p.mark = mark })
 	b.undo = append(b.undo, func() { k.takeBack(l, d) })
-	b.done = append(b.done, func(rev uint64) { l.paged(p, d, rev) })
+	b.done = append(b.done, func(rev uint64) { p.bytes = len(raw); l.paged(p, d, rev) })
 }
 
 // fill adds what is new. Completions go before the ends that rest on them.
@@ -208,7 +328,14 @@
 		ch := ref.j.chunks[ref.c]
 		if !ref.j.over() { // else the record of the job's end takes its place
 			bits := ref.j.chunkBits(ref.c, l.Derived.ChunkTasks)
-			if !d.fits(chunkBytes + len(ref.j.id) + len(bits)) {
+			if size := chunkSize(ref, bits); pageBytes+size > k.most {
+				// No page holds it. Its tasks' ends wait for that of the job: their
+				// workers keep saying that they are done.
+				slog.Error("completions larger than a page", "job", ref.j.id, "bytes", size, "most", k.most)
+				ch.dirty = false
+				k.chunks = k.chunks[1:]
+				continue
+			} else if !d.fits(size) {
 				break
 			}
 			d.chunk(ref, bits)
@@ -225,11 +352,11 @@
 		switch {
 		case a.closing: // its page is written anew, without it
 			a.ending = false
-		case d.fits(overBytes) && l.recordable(b, a):
+		case d.fits(overSize(a)) && l.recordable(b, a):
 			a.closing, a.ending = true, false
 			if a.home != nil {
 				d.rec.Over = append(d.rec.Over, a.attempt)
-				d.size += overBytes
+				d.size += overSize(a)
 			}
 			d.gone = append(d.gone, a)
 		default:
@@ -262,6 +389,12 @@
 		a.closing = false
 		k.end(a)
 	}
+	for _, a := range d.kept {
+		a.moving = false
+	}
+	for _, ref := range d.done {
+		ref.j.chunks[ref.c].moving = false
+	}
 	for _, ref := range d.fresh.chunks {
 		l.chunkDirty(ref.j, ref.c)
 	}
@@ -273,8 +406,11 @@
 	clear(p.begun)
 	clear(p.done)
 	for _, a := range d.kept {
+		if a.home != nil && a.home != p {
+			delete(a.home.begun, a.attempt)
+		}
 		p.begun[a.attempt] = a
-		a.home = p
+		a.home, a.moving = p, false
 		if !a.durable {
 			a.durable = true
 			l.poke(a.m)
@@ -283,7 +419,7 @@
 	for _, ref := range d.done {
 		p.done[ref] = true
 		if ch := ref.j.chunks[ref.c]; ch != nil {
-			ch.home = p
+			ch.home, ch.moving = p, false
 		}
 	}
 	for _, a := range d.gone {
@@ -298,7 +434,7 @@
 func (k *book) turn(n int) {
 	k.number += uint64(n)
 	k.pages = append(k.pages[n:], k.pages[:n]...)
-	k.again = 0
+	k.again, k.open = 0, false
 }
 
 // readBook puts the pages in order. What each says is for the caller.
@@ -308,27 +444,25 @@
 		rec pageRecord
 	}
 	var all []read
-	used := map[string]bool{}
+	k := &l.book
+	*k = book{most: min(l.Derived.ValueBytes, txnBytes/2) * 15 / 16, keys: map[string]bool{}}
 	for _, pair := range pairs {
-		r := read{p: newPage(0, pair.Mark)}
-		r.p.key = pair.Key
-		used[pair.Key] = true
+		r := read{p: newPage(pair.Key, pair.Mark)}
+		r.p.bytes = len(pair.Value)
+		k.keys[pair.Key] = true
 		if err := json.Unmarshal(pair.Value, &r.rec); err != nil {
 			slog.Error("page of the book unreadable", "key", pair.Key, "reason", err)
 		}
 		all = append(all, r)
 	}
 	slices.SortFunc(all, func(a, b read) int { return cmp.Compare(a.rec.Number, b.rec.Number) })
-	l.book = book{most: min(l.Derived.ValueBytes, txnBytes/2) * 15 / 16}
-	for i := 0; len(l.book.pages)+len(all) < leastPages; i++ {
-		if p := newPage(i, 0); !used[p.key] {
-			l.book.pages = append(l.book.pages, p)
-		}
+	for len(k.pages)+len(all) < leastPages {
+		k.pages = append(k.pages, k.blank())
 	}
 	var recs []pageRecord
 	for _, r := range all {
-		l.book.pages = append(l.book.pages, r.p)
-		l.book.number = max(l.book.number, r.rec.Number)
+		k.pages = append(k.pages, r.p)
+		k.number = max(k.number, r.rec.Number)
 		recs = append(recs, r.rec)
 	}
 	return recs
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -423,7 +423,7 @@
 		j.grow(t.N + 1)
 	}
 	p.begun[t.Attempt] = &assignment{
-		job: j, n: t.N, attempt: t.Attempt, session: session, m: m, home: p,
+		job: j, n: t.N, attempt: t.Attempt, gang: t.Gang, session: session, m: m, home: p,
 		restored: true, durable: true, doubt: l.token - 1, born: now, since: now,
 	}
 }
--- a/internal/control/model.go
+++ b/internal/control/model.go
@@ -40,9 +40,10 @@
 }
 
 type chunk struct {
-	home  *page // where it was last written
-	dirty bool
-	saved bool // every bit set so far is durable
+	home   *page // where it was last written
+	dirty  bool
+	saved  bool // every bit set so far is durable
+	moving bool // to another page, outcome open
 }
 
 type chunkRef struct {
@@ -118,6 +119,7 @@
 	n       int
 	task    string
 	attempt uint64
+	gang    uint64 // attempt of its whole gang; 0 for others
 	session uint64
 	m       *machine
 
@@ -127,6 +129,7 @@
 	outcome  outcome   // over, as soon as that is durable
 	ending   bool      // queued to be written as over
 	closing  bool      // written as over, outcome open
+	moving   bool      // its beginning is written on another page, outcome open
 	inRoom   bool      // counts in the machine's room
 	seen     string    // state in the newest picture, empty if absent
 	born     time.Time // when this leader made or found it
--- a/internal/control/scale_test.go
+++ b/internal/control/scale_test.go
@@ -20,12 +20,17 @@
 // largest is half as many machines again as the largest fleet the operators plan.
 const largest = 2900
 
-// fleetOf is a leader with a fleet in which every machine runs one task that
-// fills it, and what each worker reports.
-func fleetOf(tb testing.TB, size int) (*Leader, []*workers.Report, time.Time) {
+// quiet keeps the log of thousands of machines to itself.
+func quiet(tb testing.TB) {
 	old := slog.Default()
 	slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil)))
 	tb.Cleanup(func() { slog.SetDefault(old) })
+}
+
+// fleetOf is a leader with a fleet in which every machine runs one task that
+// fills it, and what each worker reports.
+func fleetOf(tb testing.TB, size int) (*Leader, []*workers.Report, time.Time) {
+	quiet(tb)
 	l, m, _, now := bench()
 	types := []jobs.MachineType{{Name: "c4", CPUs: 4, RAMGB: 32, CacheGB: 50, FetchGBPS: 1, BootS: 30}}
 	l.Catalog = func() []jobs.MachineType { return types }
@@ -122,7 +127,7 @@
 	l, _, now := fleetOf(b, largest)
 	written := map[string]state.Pair{}
 	for rev := uint64(1); l.book.waiting(); rev++ {
-		l.book.grow()
+		l.book.grow(1)
 		batch := &batch{marks: map[string]func(uint64){}}
 		l.addPage(batch, 0, true)
 		for _, f := range batch.done {
--- a/internal/control/write.go
+++ b/internal/control/write.go
@@ -43,8 +43,21 @@
 		return
 	}
 	l.flushedAt = now
+	b := l.compose()
+	if len(b.writes) == 0 {
+		return
+	}
+	l.writing = true
+	go func() {
+		rev, failed, err := l.Store.Commit(ctx, b.guards, b.writes)
+		l.post(ctx, func(time.Time) { l.written(ctx, b, rev, failed, err) })
+	}()
+}
+
+// compose puts the next transaction together.
+func (l *Leader) compose() *batch {
 	b := &batch{marks: map[string]func(uint64){}}
-	l.book.grow()
+	l.book.grow(l.Derived.TxnOps / 2)
 	// The pages of a transaction whose outcome is open come first of all.
 	left := l.Derived.TxnOps - l.book.again
 	if l.raise && left > 0 {
@@ -70,16 +83,9 @@
 		l.addPage(b, pages, pages+1 >= l.book.again)
 		l.book.again = max(l.book.again, pages+1) // until the outcome is known
 	}
-	if len(b.writes) == 0 {
-		return
-	}
 	b.done = append(b.done, func(uint64) { l.book.turn(pages) })
 	b.guards = append(b.guards, state.Guard{Key: term.HolderKey, Mark: l.term.Mark})
-	l.writing = true
-	go func() {
-		rev, failed, err := l.Store.Commit(ctx, b.guards, b.writes)
-		l.post(ctx, func(time.Time) { l.written(ctx, b, rev, failed, err) })
-	}()
+	return b
 }
 
 func (l *Leader) addToken(b *batch) {
@@ -104,7 +110,7 @@
 		return // its user was faster
 	}
 	rec := jobs.Record{Tasks: j.spec.Tasks, Spec: j.spec}
-	b.add(jobs.RecordKey(j.id), j.mark, rec.Ended(jobs.Done), func(uint64) {})
+	b.add(jobs.RecordKey(j.id), j.mark, rec.Ended(jobs.Done, l.Derived.ValueBytes), func(uint64) {})
 	b.undo = append(b.undo, func() { l.finals = append(l.finals, j) })
 	b.done = append(b.done, func(uint64) {
 		slog.Debug("job done", "job", j.id, "term", l.token)
@@ -133,6 +139,10 @@
 	}
 	if err != nil {
 		slog.Debug("records not written", "term", l.token, "reason", err)
+		l.book.open = l.book.open || !errors.Is(err, state.ErrRefused)
+		if errors.Is(err, state.ErrRejected) {
+			l.rejected(b, err)
+		}
 		if !errors.Is(err, state.ErrUnknown) && !errors.Is(err, state.ErrRefused) {
 			slog.Error("records not written", "term", l.token, "reason", err)
 		}
@@ -150,6 +160,25 @@
 	go l.reread(ctx, b, failed)
 }
 
+// rejected looks for a transaction that the state service takes: its limits are
+// lower than the settings say. The same one would be rejected for ever, and with it
+// all that waits behind it.
+func (l *Leader) rejected(b *batch, err error) {
+	most := 0
+	for _, w := range b.writes {
+		most = max(most, len(w.Value))
+	}
+	slog.Error("transaction rejected", "term", l.token, "writes", len(b.writes), "bytes", b.bytes, "largest", most, "reason", err)
+	if l.book.open {
+		// An earlier one may still be carried out, and its pages have to be written
+		// again. The end of the term is what makes sure that it is not.
+		l.resign = true
+		return
+	}
+	l.book.again = 0 // nothing of it was carried out
+	l.book.most = max(l.book.most/2, leastCarry*usualBytes)
+}
+
 // reread learns the revisions of keys that were not as expected.
 func (l *Leader) reread(ctx context.Context, b *batch, keys []string) {
 	for _, key := range keys {
--- a/internal/jobs/api.go
+++ b/internal/jobs/api.go
@@ -149,6 +149,10 @@
 	}
 	rec := Record{Stance: Queued, Tasks: spec.Tasks, Spec: spec, AtMs: time.Now().UnixMilli()}
 	value, err := json.Marshal(rec)
+	if err == nil && len(value) > a.Derived.ValueBytes {
+		spec.onlyTypes(types)
+		value, err = json.Marshal(rec)
+	}
 	if err != nil || len(value) > a.Derived.ValueBytes {
 		refuse(w, http.StatusBadRequest, "job too large")
 		return
@@ -237,7 +241,7 @@
 			return true, nil
 		}
 		_, failed, err := a.Store.Commit(ctx, []state.Guard{{Key: RecordKey(id), Mark: mark}},
-			[]state.Write{{Set: RecordKey(id), Value: rec.Ended(Cancelled)}})
+			[]state.Write{{Set: RecordKey(id), Value: rec.Ended(Cancelled, a.Derived.ValueBytes)}})
 		if err != nil || len(failed) > 0 {
 			return false, err
 		}
--- a/internal/jobs/record.go
+++ b/internal/jobs/record.go
@@ -30,13 +30,19 @@
 // Over tells whether the record can change no more.
 func (r *Record) Over() bool { return r.Stance == Done || r.Stance == Cancelled }
 
-// Ended returns the record's last form.
-func (r *Record) Ended(stance string) json.RawMessage {
+// Ended returns the record's last form, in no more than so many bytes. A cancelled
+// job may be from when records could be larger: then its description keeps what its
+// tasks count for until they are gone.
+func (r *Record) Ended(stance string, most int) json.RawMessage {
 	end := Record{Stance: stance, Tasks: r.Tasks}
 	if stance == Cancelled {
 		end.Spec = r.Spec
 	}
 	raw, _ := json.Marshal(end)
+	if s := r.Spec; len(raw) > most && end.Spec != nil {
+		end.Spec = &Spec{ID: s.ID, Team: s.Team, Shape: s.Shape, Priority: s.Priority, Tasks: s.Tasks, CPUs: s.CPUs, GPUs: s.GPUs, RAMGB: s.RAMGB}
+		raw, _ = json.Marshal(end)
+	}
 	return raw
 }
 
--- a/internal/jobs/spec.go
+++ b/internal/jobs/spec.go
@@ -17,6 +17,7 @@
 const (
 	Batch   = "batch"
 	Service = "daemon"
+	Gang    = "gang" // its tasks run at the same time or not at all
 
 	Prod       = "prod"
 	Urgent     = "urgent"
@@ -24,6 +25,8 @@
 	BestEffort = "best_effort"
 )
 
+var shapes = []string{Batch, Service, Gang}
+
 var priorities = []string{BestEffort, Standard, Urgent, Prod}
 
 // MaxTasks is the protocol's limit of tasks per job.
@@ -81,6 +84,21 @@
 		(s.Zone == "" || s.Zone == zone) && (s.Spot || !spot)
 }
 
+// onlyTypes leaves out allowed machine types that do not exist, and repetitions:
+// a record has to fit into one value.
+func (s *Spec) onlyTypes(types []MachineType) {
+	var known []string
+	for _, t := range types {
+		if slices.Contains(s.Types, t.Name) {
+			known = append(known, t.Name)
+		}
+	}
+	s.Types = known
+}
+
+// Ends tells whether the job's tasks run to completion.
+func (s *Spec) Ends() bool { return s.Shape != Service }
+
 // ParseSpec reads a submission. Its errors are the user's mistakes.
 func ParseSpec(raw []byte) (*Spec, error) {
 	var in struct {
@@ -147,8 +165,8 @@
 	} else {
 		s.Tasks = *in.Tasks
 	}
-	if s.Shape != "" && s.Shape != Batch && s.Shape != Service {
-		bad("shape", Batch+" or "+Service)
+	if s.Shape != "" && !slices.Contains(shapes, s.Shape) {
+		bad("shape", fmt.Sprintf("one of %v", shapes))
 	}
 	if s.Priority != "" && !slices.Contains(priorities, s.Priority) {
 		bad("rank", fmt.Sprintf("one of %v", priorities))
@@ -203,7 +221,7 @@
 		return errors.New("a task fits no allowed machine type")
 	}
 	n := 1.0
-	if s.Shape == Service {
+	if s.Shape != Batch {
 		n = float64(s.Tasks)
 	}
 	if team.CPUsMax > 0 && n*s.CPUs > team.CPUsMax || team.GPUsMax > 0 && n*s.GPUs > team.GPUsMax {
--- /dev/null
+++ b/internal/node/catalog.go
@@ -0,0 +1,89 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"ospreyslip/internal/jobs"
+	"ospreyslip/internal/state"
+)
+
+// catalogKey holds the last known machine types, for a node that starts while
+// the cloud does not answer. Where they do not fit into one value, each has one of
+// its own under catalogParts.
+const (
+	catalogKey   = "catalog"
+	catalogParts = "catalog/"
+)
+
+// catalogPart is one machine type of so many: a part of them would have jobs
+// refused that can run.
+type catalogPart struct {
+	Of   int              `json:"of"`
+	Type jobs.MachineType `json:"type"`
+}
+
+// keepCatalog learns the machine types, and their prices from time to time.
+func (n *Node) keepCatalog(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait := 2 * n.d.Cancel
+		types, err := n.cloud.Catalog(ctx)
+		switch {
+		case err == nil:
+			n.catalog.Store(&types)
+			n.storeCatalog(ctx, types)
+		case n.types() == nil:
+			slog.Debug("machine types not read", "reason", err)
+			wait = n.d.TermRenew
+			if types := n.storedCatalog(ctx); types != nil {
+				n.catalog.Store(&types)
+			}
+		default:
+			wait = n.d.Cancel / 4
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+	}
+}
+
+// storeCatalog keeps the machine types, once. What fails is tried again when they
+// are read again.
+func (n *Node) storeCatalog(ctx context.Context, types []jobs.MachineType) {
+	once := func(key string, v any) {
+		if raw, err := json.Marshal(v); err == nil && len(raw) <= n.d.ValueBytes {
+			_, _, _ = n.store.Commit(ctx, []state.Guard{{Key: key}}, []state.Write{{Set: key, Value: raw}})
+		}
+	}
+	if raw, err := json.Marshal(types); err == nil && len(raw) <= n.d.ValueBytes {
+		once(catalogKey, types)
+		return
+	}
+	for i, t := range types {
+		once(fmt.Sprint(catalogParts, i), catalogPart{len(types), t})
+	}
+}
+
+func (n *Node) storedCatalog(ctx context.Context) (types []jobs.MachineType) {
+	p, found, err := n.store.Get(ctx, catalogKey)
+	if err == nil && found && json.Unmarshal(p.Value, &types) == nil {
+		return types
+	}
+	pairs, _, err := n.store.List(ctx, catalogParts)
+	if err != nil {
+		return nil
+	}
+	types = nil
+	for _, p := range pairs {
+		var part catalogPart
+		if json.Unmarshal(p.Value, &part) != nil || part.Of != len(pairs) {
+			return nil
+		}
+		types = append(types, part.Type)
+	}
+	return types
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -28,10 +27,6 @@
 	"ospreyslip/internal/workers"
 )
 
-// catalogKey holds the last known machine types, for a node that starts while
-// the cloud does not answer.
-const catalogKey = "catalog"
-
 // Shares of what the state service takes from all nodes together. The parts of
 // all nodes stay within the whole: the leader writes most of what is written.
 const (
@@ -210,7 +205,7 @@
 
 // budget is what this node may ask of the state service.
 func (n *Node) budget(leading bool) state.Budget {
-	all := n.set.Deployment.State
+	all := n.set.Deployment.State.Within()
 	b := state.Budget{Requests: leaderRequests * all.RPS, Writes: leaderWrites * all.WriteRPS}
 	if others := float64(n.set.Deployment.Nodes - 1); !leading && others > 0 {
 		b.Requests = (1 - leaderRequests) * all.RPS / others
@@ -250,30 +245,3 @@
 	}
 	return nil
 }
-
-// keepCatalog learns the machine types, and their prices from time to time.
-func (n *Node) keepCatalog(ctx context.Context) {
-	for ctx.Err() == nil {
-		wait := 2 * n.d.Cancel
-		types, err := n.cloud.Catalog(ctx)
-		switch {
-		case err == nil:
-			n.catalog.Store(&types)
-			if raw, err := json.Marshal(types); err == nil {
-				_, _, _ = n.store.Commit(ctx, []state.Guard{{Key: catalogKey}}, []state.Write{{Set: catalogKey, Value: raw}})
-			}
-		case n.types() == nil:
-			slog.Debug("machine types not read", "reason", err)
-			wait = n.d.TermRenew
-			if p, found, err := n.store.Get(ctx, catalogKey); err == nil && found && json.Unmarshal(p.Value, &types) == nil {
-				n.catalog.Store(&types)
-			}
-		default:
-			wait = n.d.Cancel / 4
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(wait):
-		}
-	}
-}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -498,7 +498,7 @@
 func TestManyTasks(t *testing.T) {
 	tweak := func(s *settings.Settings) { s.Deployment.State.ValueKB, s.Deployment.State.TxnOps = 1, 4 }
 	inCluster(t, tweak, func(c *cluster) {
-		c.world.State.TxnOps = 4 // fewer than there are machines
+		c.world.State.Limit(standin.Limits{ValueBytes: 1 << 10, TxnOps: 4, Writes: 1000}) // fewer than there are machines
 		c.submit("perch-0", batch("j-1", 2500, 0.5))
 		c.run(45 * time.Second)
 		c.crash(c.leader())
@@ -515,6 +515,51 @@
 	})
 }
 
+// The state service's limits fall without notice: in a burst, in an outage, in a
+// change of leader. Nothing that was written before, or is on its way, is too large.
+func TestLimitsFall(t *testing.T) {
+	kb, writes, ops := 2.0, 35.0, 4
+	tweak := func(s *settings.Settings) {
+		s.Deployment.State.Next = &settings.NextState{ValueKB: &kb, WriteRPS: &writes, TxnOps: &ops}
+	}
+	lower := standin.Limits{ValueBytes: 2 << 10, TxnOps: 4, Writes: 2 * 35} // a burst may come on top
+	for _, tc := range []struct {
+		name    string
+		trouble func(c *cluster)
+	}{
+		{"in a burst", func(c *cluster) { c.world.State.Limit(lower) }},
+		{"in an outage", func(c *cluster) {
+			c.world.State.Down(true)
+			c.run(5 * time.Second)
+			c.world.State.Limit(lower)
+			c.world.State.Down(false)
+		}},
+		{"in a change of leader", func(c *cluster) {
+			c.crash(c.leader())
+			c.world.State.Limit(lower)
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			inCluster(t, tweak, func(c *cluster) {
+				c.allUp()
+				c.submit("perch-0", batch("j-3", 300, 5))
+				c.submit("perch-1", batch("j-4", 100, 5))
+				c.run(3 * time.Second)
+				tc.trouble(c)
+				for _, id := range []string{"j-2", "j-3", "j-4"} {
+					c.withinDone(10*time.Minute, id)
+				}
+				if n := c.world.State.Rejected(); n > 0 {
+					t.Errorf("%d transactions were too large", n)
+				}
+				if n := c.world.Starts(); n != 408 {
+					t.Errorf("%d starts for 408 tasks", n)
+				}
+			})
+		})
+	}
+}
+
 // A slow machine is found by the siblings of its tasks, which then run elsewhere.
 func TestSlowMachine(t *testing.T) {
 	inCluster(t, nil, func(c *cluster) {
--- a/internal/settings/derived.go
+++ b/internal/settings/derived.go
@@ -54,6 +54,7 @@
 	ServedConns int           // of users and workers
 	IdleConns   time.Duration // how long one of these is kept without a request
 	WorkerConns int           // kept open to workers while idle
+	GangPeer    time.Duration // within it all tasks of a gang must hear of its stop
 	OrdersOut   int           // orders on their way at a time, and as many calls
 	UserQueue   int
 }
@@ -86,7 +87,8 @@
 	term := min(lease/4, report*3/2, workerWait*5/8)
 	beat := min(report, term)
 	lag := seconds(d.Cloud.ListLagS)
-	value := int(d.State.ValueKB * 1024)
+	store := d.State.Within()
+	value := int(store.ValueKB * 1024)
 	return Derived{
 		Report: report,
 		Beat:   beat,
@@ -119,15 +121,18 @@
 		ListLag:     lag,
 
 		// Transactions in a row would spend the write rate on small ones.
-		FlushGap: seconds(flushWrites / d.State.WriteRPS),
+		FlushGap: seconds(flushWrites / store.WriteRPS),
 		// All nodes together spend a part of the reads on polls.
-		PollGap: seconds(pollReads * float64(d.Nodes) / (pollShare * d.State.RPS)),
-		BeginBy: largestBegin / 2,
-		Lasting: lasting,
-
-		TxnOps:      d.State.TxnOps,
-		ValueBytes:  value,
-		ChunkTasks:  max(64, value/4/64*64), // as text, a twenty-fourth of it
+		PollGap:  seconds(pollReads * float64(d.Nodes) / (pollShare * store.RPS)),
+		BeginBy:  largestBegin / 2,
+		GangPeer: seconds(or(d.Workers.GangPeerS, d.Workers.LeaseS/2)),
+		Lasting:  lasting,
+
+		TxnOps:     store.TxnOps,
+		ValueBytes: value,
+		// As text, a twenty-fourth of a value. It is the layout of what is stored, so
+		// that limits to come must not change it.
+		ChunkTasks:  max(64, int(d.State.ValueKB*1024)/4/64*64),
 		MemoryBytes: int64(d.Limits.MemoryMB * (1 << 20)),
 		// A sixteenth of the sockets is left over: for the state service,
 		// the cloud, the other controllers and whatever is being closed.
@@ -140,6 +145,14 @@
 	}
 }
 
+// or is what a setting that may be absent stands for.
+func or(v *float64, absent float64) float64 {
+	if v == nil {
+		return absent
+	}
+	return *v
+}
+
 // Print writes the figures, one a line.
 func (d Derived) Print(w io.Writer) error {
 	v := reflect.ValueOf(d)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -72,17 +72,47 @@
 
 // Workers holds the workers' periods.
 type Workers struct {
-	ReportS float64 `toml:"report_s"`
-	LeaseS  float64 `toml:"lease_s"`
-	CancelS float64 `toml:"cancel_s"`
+	ReportS   float64  `toml:"report_s"`
+	LeaseS    float64  `toml:"lease_s"`
+	CancelS   float64  `toml:"cancel_s"`
+	GangWaitS *float64 `toml:"gang_wait_s"` // a gang that is not complete by then ends
+	GangPeerS *float64 `toml:"gang_peer_s"` // within it a gang notices a lost task, and all must be told to stop
 }
 
-// State holds the state service's limits.
+// State holds the state service's limits, and those that it will have from some
+// moment on, of which there is no notice.
 type State struct {
-	RPS      float64 `toml:"rps"`
-	WriteRPS float64 `toml:"write_rps"`
-	ValueKB  float64 `toml:"value_kb"`
-	TxnOps   int     `toml:"txn_ops"`
+	RPS      float64    `toml:"rps"`
+	WriteRPS float64    `toml:"write_rps"`
+	ValueKB  float64    `toml:"value_kb"`
+	TxnOps   int        `toml:"txn_ops"`
+	Next     *NextState `toml:"next"`
+}
+
+// NextState holds limits to come. What is absent stays as it is.
+type NextState struct {
+	RPS      *float64 `toml:"rps"`
+	WriteRPS *float64 `toml:"write_rps"`
+	ValueKB  *float64 `toml:"value_kb"`
+	TxnOps   *int     `toml:"txn_ops"`
+}
+
+// Within returns limits that hold now and later: as there is no notice of the
+// change, everything is written within the smaller ones from the first moment.
+func (s State) Within() State {
+	w := State{RPS: s.RPS, WriteRPS: s.WriteRPS, ValueKB: s.ValueKB, TxnOps: s.TxnOps}
+	if n := s.Next; n != nil {
+		w.RPS, w.WriteRPS, w.ValueKB = least(w.RPS, n.RPS), least(w.WriteRPS, n.WriteRPS), least(w.ValueKB, n.ValueKB)
+		w.TxnOps = least(w.TxnOps, n.TxnOps)
+	}
+	return w
+}
+
+func least[T int | float64](now T, next *T) T {
+	if next == nil {
+		return now
+	}
+	return min(now, *next)
 }
 
 // Cloud holds the cloud's limits.
@@ -114,6 +144,13 @@
 	return &s, nil
 }
 
+// What the records need: a page of the book has to hold some assignments, and a
+// transaction the token, the end of a job and two pages.
+const (
+	leastOps     = 4
+	leastValueKB = 0.5
+)
+
 func (s *Settings) check() error {
 	var errs []error
 	bad := func(format string, args ...any) { errs = append(errs, fmt.Errorf(format, args...)) }
@@ -162,8 +199,29 @@
 	positive("deployment.state.rps", d.State.RPS)
 	positive("deployment.state.write_rps", d.State.WriteRPS)
 	positive("deployment.state.value_kb", d.State.ValueKB)
-	if d.State.TxnOps < 4 {
-		bad("deployment.state.txn_ops must be at least 4, is %d", d.State.TxnOps)
+	ops := func(name string, v int) {
+		if v < leastOps {
+			bad("%s must be at least %d, is %d", name, leastOps, v)
+		}
+	}
+	ops("deployment.state.txn_ops", d.State.TxnOps)
+	if n := d.State.Next; n != nil {
+		for name, v := range map[string]*float64{"rps": n.RPS, "write_rps": n.WriteRPS, "value_kb": n.ValueKB} {
+			if v != nil {
+				positive("deployment.state.next."+name, *v)
+			}
+		}
+		if n.TxnOps != nil {
+			ops("deployment.state.next.txn_ops", *n.TxnOps)
+		}
+	}
+	if kb := d.State.Within().ValueKB; kb > 0 && kb < leastValueKB {
+		bad("deployment.state.value_kb, and next.value_kb, must be at least %v, is %v", leastValueKB, kb)
+	}
+	for name, v := range map[string]*float64{"gang_wait_s": d.Workers.GangWaitS, "gang_peer_s": d.Workers.GangPeerS} {
+		if v != nil {
+			positive("deployment.workers."+name, *v)
+		}
 	}
 	positive("deployment.cloud.rps", d.Cloud.RPS)
 	positive("deployment.cloud.list_lag_s", d.Cloud.ListLagS)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -23,6 +23,10 @@
 		{"cancellations shorter than leases", "cancel_s = 40.0", "cancel_s = 20.0", "cancel_s (20) must exceed lease_s (20)"},
 		{"a team twice", `name = "blue"`, `name = "red"`, "deployment.teams[1].name"},
 		{"negative limit", "cpus_max = 40.0", "cpus_max = -1.0", "cpus_max must be a finite number of at least 0"},
+		{"a gang's wait of no length", "lease_s = 20.0", "lease_s = 20.0\ngang_wait_s = 0.0", "deployment.workers.gang_wait_s must be a finite number above 0, is 0"},
+		{"limits to come", "txn_ops = 12", "txn_ops = 12\n[deployment.state.next]\nvalue_kb = 2.0\nmore = 1", ""},
+		{"a value to come of no size", "txn_ops = 12", "txn_ops = 12\n[deployment.state.next]\nvalue_kb = 0.0", "deployment.state.next.value_kb must be a finite number above 0, is 0"},
+		{"transactions to come too small", "txn_ops = 12", "txn_ops = 12\n[deployment.state.next]\ntxn_ops = 3", "deployment.state.next.txn_ops must be at least 4, is 3"},
 		{"itself as a peer", `node_name = "perch-1"`, `node_name = "perch-0"`, "peers[0].node_name"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -67,9 +71,32 @@
 	}
 }
 
+// All is written within the smaller of the limits that hold and those to come, but
+// for what says how stored records are laid out.
+func TestLimitsToCome(t *testing.T) {
+	kb, writes, ops := 2.0, 35.0, 20
+	s := Settings{Operator: DefaultOperator(), Deployment: Deployment{
+		Workers: Workers{ReportS: 2, LeaseS: 20, CancelS: 40},
+		State:   State{RPS: 100, WriteRPS: 50, ValueKB: 32, TxnOps: 12},
+		Cloud:   Cloud{RPS: 5, ListLagS: 5}, Limits: Limits{MemoryMB: 100, MaxSockets: 100},
+	}}
+	now := s.Derive()
+	s.Deployment.State.Next = &NextState{ValueKB: &kb, WriteRPS: &writes, TxnOps: &ops}
+	d := s.Derive()
+	if w := s.Deployment.State.Within(); w.RPS != 100 || w.WriteRPS != 35 || w.ValueKB != 2 || w.TxnOps != 12 {
+		t.Errorf("within %+v", w)
+	}
+	if d.ValueBytes != 2048 || d.TxnOps != 12 || d.FlushGap <= now.FlushGap {
+		t.Errorf("%d bytes a value, %d writes a transaction, one in %v", d.ValueBytes, d.TxnOps, d.FlushGap)
+	}
+	if d.ChunkTasks != now.ChunkTasks || d.TermLease != now.TermLease {
+		t.Error("what both versions have to agree on follows the limits to come")
+	}
+}
+
 // The ratios have to leave room for each other, at any pace.
 func TestDerivedBounds(t *testing.T) {
-	for _, w := range []Workers{{1.5, 10, 30}, {3, 45, 70}, {0.5, 4, 9}, {10, 40, 41}} {
+	for _, w := range []Workers{{ReportS: 1.5, LeaseS: 10, CancelS: 30}, {ReportS: 3, LeaseS: 45, CancelS: 70}, {ReportS: 0.5, LeaseS: 4, CancelS: 9}, {ReportS: 10, LeaseS: 40, CancelS: 41}} {
 		s := Settings{Operator: DefaultOperator(), Deployment: Deployment{Workers: w, State: State{RPS: 100, WriteRPS: 50, ValueKB: 32, TxnOps: 12}, Cloud: Cloud{RPS: 5, ListLagS: 5}, Limits: Limits{MemoryMB: 100, MaxSockets: 100}}}
 		d := s.Derive()
 		if d.TermSafe >= d.TermLease {
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"sort"
 	"strconv"
@@ -30,8 +31,6 @@
 
 // State is the state service.
 type State struct {
-	TxnOps int
-
 	mu      sync.Mutex
 	keys    map[string]entry
 	log     []change
@@ -45,11 +44,45 @@
 	served  map[string]int
 	lag     int // changes that watches do not show yet
 	keep    int // changes that are kept
+	limits  Limits
+	window  time.Time // the second in which writes are counted
+	written int
+}
+
+// Limits is what the state service takes.
+type Limits struct {
+	ValueBytes, TxnOps, Writes int // Writes a second
+}
+
+// txnBytes is the protocol's limit for a transaction.
+const txnBytes = 64 << 10
+
+// Limit changes what is taken from now on, without notice.
+func (s *State) Limit(l Limits) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limits = l
+}
+
+// Rejected returns how many transactions were larger than is taken.
+func (s *State) Rejected() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.served["rejected"]
+}
+
+// over tells whether more is written in this second than is taken.
+func (s *State) over(writes int) bool {
+	if now := time.Now(); now.Sub(s.window) >= time.Second {
+		s.window, s.written = now, 0
+	}
+	s.written += writes
+	return s.written > s.limits.Writes
 }
 
 // NewState makes an empty store.
 func NewState() *State {
-	return &State{TxnOps: 12, keys: map[string]entry{}, leases: map[uint64]*lease{}, changed: make(chan struct{}), refuse: map[string]bool{}, served: map[string]int{}, keep: 10000}
+	return &State{limits: Limits{32 << 10, 12, 1000}, keys: map[string]entry{}, leases: map[uint64]*lease{}, changed: make(chan struct{}), refuse: map[string]bool{}, served: map[string]int{}, keep: 10000}
 }
 
 // Lag makes watches miss the newest changes.
@@ -262,10 +295,21 @@
 			Remove string          `json:"remove"`
 		} `json:"writes"`
 	}
-	if err := json.NewDecoder(r.Body).Decode(&in); err != nil || len(in.Writes) > s.TxnOps || len(in.Guards) > 4*s.TxnOps {
+	raw, _ := io.ReadAll(r.Body)
+	err := json.Unmarshal(raw, &in)
+	bad := err != nil || len(raw) > txnBytes || len(in.Writes) > s.limits.TxnOps || len(in.Guards) > 4*s.limits.TxnOps
+	for _, p := range in.Writes {
+		bad = bad || len(p.Value) > s.limits.ValueBytes
+	}
+	if bad {
+		s.served["rejected"]++
 		send(w, http.StatusBadRequest, map[string]string{"error": "malformed"})
 		return
 	}
+	if s.over(len(in.Writes)) {
+		send(w, http.StatusTooManyRequests, nil)
+		return
+	}
 	var failed []string
 	for _, g := range in.Guards {
 		if s.keys[g.Key].mark != g.Mark {
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -25,6 +25,9 @@
 	// ErrBusy comes with ErrRefused where a limit was the reason, the service's or
 	// this node's own: it says nothing of an outage.
 	ErrBusy = errors.New("over the limit")
+	// ErrRejected comes with ErrRefused where the request itself was the reason, as
+	// it is larger than the service takes: sent again, it would be refused again.
+	ErrRejected = errors.New("rejected as it is")
 	// ErrUnknown means that the request may have been executed, or may yet be.
 	ErrUnknown = errors.New("outcome unknown")
 	// ErrNoLease means that the lease has ended.
@@ -235,8 +238,10 @@
 		return out.Tide, out.Failed, nil
 	case status == http.StatusBadRequest && out.Error == "no such lease":
 		return 0, nil, ErrNoLease
+	case status == http.StatusBadRequest:
+		return 0, nil, fmt.Errorf("%w: %w: %s", ErrRefused, ErrRejected, out.Error)
 	}
-	return 0, nil, unexpected(status, "commit: "+out.Error)
+	return 0, nil, unexpected(status, "commit")
 }
 
 // Grant makes a lease.
