--- a/internal/control/book.go
+++ b/internal/control/book.go
@@ -413,7 +413,11 @@
 		a.home, a.moving = p, false
 		if !a.durable {
 			a.durable = true
-			l.poke(a.m)
+			if a.job.isGang() {
+				l.gangWritten(a.job)
+			} else {
+				l.poke(a.m)
+			}
 		}
 	}
 	for _, ref := range d.done {
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -220,7 +220,7 @@
 // arrived takes in the work of a new job, in CPU seconds a second. An old one,
 // that a new leader finds, counts the less.
 func (l *Leader) arrived(j *job, age time.Duration, now time.Time) {
-	if j.spec.Shape != jobs.Batch {
+	if !j.spec.Ends() {
 		return
 	}
 	l.decayFlow(now)
@@ -240,7 +240,7 @@
 	l.decayFlow(now)
 	work := 0.0
 	for _, j := range l.jobs {
-		if !j.over() && j.spec.Shape == jobs.Batch {
+		if !j.over() && j.spec.Ends() {
 			work += float64(j.spec.Tasks-j.doneCount) * l.runS(j.spec) * j.spec.CPUs
 		}
 	}
@@ -249,7 +249,7 @@
 		if t := l.machineType(m.typ); t != nil && m.phase != returning && !m.dead && !m.draining {
 			missing -= t.CPUs
 			for _, a := range m.assigned {
-				if a.job.spec.Shape != jobs.Batch {
+				if !a.job.spec.Ends() {
 					missing += a.job.spec.CPUs
 				}
 			}
@@ -284,7 +284,7 @@
 			continue
 		}
 		for _, a := range m.assigned {
-			if a.outcome != open || a.job.spec.Shape != jobs.Batch {
+			if a.outcome != open || !a.job.spec.Ends() {
 				continue
 			}
 			left := l.runS(a.job.spec) - now.Sub(a.since).Seconds()
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"ospreyslip/internal/fleet"
+	"ospreyslip/internal/gang"
 	"ospreyslip/internal/jobs"
 	"ospreyslip/internal/liveness"
 	"ospreyslip/internal/placement"
@@ -312,6 +313,9 @@
 	}
 	l.restore(l.readBook(pages), ended, now)
 	for _, j := range l.jobs {
+		if j.isGang() && !j.over() && j.verdict() == gang.End {
+			l.stopGang(j, 0) // its leader ended when a part of it had begun, or was over
+		}
 		if !j.over() && j.spec.Shape == jobs.Batch && j.doneCount == j.spec.Tasks {
 			l.finish(j)
 		}
@@ -374,6 +378,14 @@
 			if !a.job.isDone(a.n) {
 				a.job.waiting--
 			}
+			if a.job.isGang() {
+				a.job.joined(a)
+			}
+		}
+	}
+	for _, p := range l.book.pages {
+		for _, attempt := range sorted(p.begun) {
+			a := p.begun[attempt]
 			switch {
 			case a.job.isDone(a.n):
 				l.over(a, success)
--- a/internal/control/model.go
+++ b/internal/control/model.go
@@ -34,7 +34,8 @@
 	covered   bool      // within its team's guarantee
 	coveredAt time.Time // since when
 	tooks     []float64 // how long its completed tasks ran, as logarithms, in order
-	errors    int       // failures in a row, over all machines
+	gang      gangAttempt
+	errors    int // failures in a row, over all machines
 	notBefore time.Time
 	shown     jobs.Counts
 }
@@ -186,11 +187,11 @@
 	orderAfter          time.Time
 	orderFails          int // orders in a row that had no answer
 	doubtSince          time.Time
-	ordered             map[uint64]uint64 // attempts begun by an order, with its token
-	failures            map[string]bool   // jobs that failed here since one succeeded
-	listed              time.Time         // when the newest list that had it was asked for
-	told                []workers.Call    // what the last answer asked for
-	unheeded            int               // answers in a row of which nothing came
+	ordered             map[ref]uint64  // what was begun by an order, with its token
+	failures            map[string]bool // jobs that failed here since one succeeded
+	listed              time.Time       // when the newest list that had it was asked for
+	told                []workers.Call  // what the last answer asked for
+	unheeded            int             // answers in a row of which nothing came
 }
 
 // image is one that a machine keeps.
@@ -221,7 +222,7 @@
 func newMachine(id string, now time.Time) *machine {
 	return &machine{
 		id: id, known: now, idleSince: now,
-		assigned: map[uint64]*assignment{}, avoid: map[string]time.Time{}, failures: map[string]bool{}, ordered: map[uint64]uint64{},
+		assigned: map[uint64]*assignment{}, avoid: map[string]time.Time{}, failures: map[string]bool{}, ordered: map[ref]uint64{},
 		offer: &placement.Machine{ID: id, Images: map[string]bool{}, Fetching: map[string]float64{}, Avoid: map[string]bool{}},
 	}
 }
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -69,7 +69,7 @@
 		order := workers.Order{Token: l.token, Session: m.session, Calls: calls}
 		for _, c := range calls {
 			if c.Op == workers.OpRun {
-				m.ordered[c.Attempt] = l.token
+				m.ordered[ref{c.Task, c.Attempt}] = l.token
 			}
 		}
 		go func() {
@@ -93,7 +93,7 @@
 		neverSent = true // a connection attempt that was given up does not complete later
 	}
 	for _, c := range o.Calls {
-		a := m.assigned[c.Attempt]
+		a := m.find(ref{c.Task, c.Attempt})
 		if c.Op != workers.OpRun || a == nil {
 			continue
 		}
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"ospreyslip/internal/gang"
 	"ospreyslip/internal/jobs"
 	"ospreyslip/internal/placement"
 	"ospreyslip/internal/workers"
@@ -16,7 +17,7 @@
 // meet, given how long its tasks run. One that has not begun is due by its aim
 // to begin, too.
 func (l *Leader) dueS(j *job, wall int64) float64 {
-	if j.spec.Shape != jobs.Batch {
+	if !j.spec.Ends() {
 		return placement.NoDeadline
 	}
 	age, runs := float64(wall-j.atMs)/1000, l.runS(j.spec)
@@ -86,11 +87,11 @@
 // ran learns from a completed task.
 func (l *Leader) ran(a *assignment, now time.Time) {
 	took := now.Sub(a.since).Seconds()
-	if a.since.Equal(a.born) || a.job.spec.EstimateS <= 0 || took <= 0 {
+	if a.since.Equal(a.born) || a.restored && a.job.isGang() || a.job.spec.EstimateS <= 0 || took <= 0 {
 		return // nobody saw it start
 	}
 	r, x := l.runsOf(a.job.spec.Class), math.Log(took)
-	if usual, known := a.job.usual(); known {
+	if usual, known := a.job.usual(); known && !a.job.isGang() { // a gang is as slow as its slowest
 		a.m.slowness = max(a.m.slowness+r.slowIfTook(x-usual), -float64(len(a.m.assigned)))
 	}
 	a.job.took(x)
@@ -197,7 +198,9 @@
 	if j.spec.Shape == jobs.Batch && j.spec.CheckpntS == 0 && p.DueS < placement.NoDeadline {
 		p.Fragile = p.DueS < 2*l.runS(j.spec)
 	}
-	p.Overdue = l.overdue(j, now)
+	if p.Overdue = l.overdue(j, now); p.Overdue > 0 && j.isGang() {
+		p.Overdue = j.waiting
+	}
 	return p
 }
 
@@ -229,7 +232,7 @@
 // would begin anew. What it has by now may be there because it went first.
 func (l *Leader) remember(j *job, age time.Duration, now time.Time) {
 	j.served = now.Add(-max(0, age))
-	if j.spec.Shape != jobs.Batch || now.Sub(j.served) <= l.Derived.BeginBy || len(j.tasks) > mostAhead(j) {
+	if !j.spec.Ends() || now.Sub(j.served) <= l.Derived.BeginBy || len(j.tasks) > mostAhead(j) {
 		return
 	}
 	for _, a := range j.tasks {
@@ -266,6 +269,8 @@
 		switch {
 		case j.over() || j.waiting == 0:
 			delete(l.queued, j)
+		case j.isGang() && j.verdict() != gang.Anew:
+			// looked at again when the last task of its attempt is forgotten
 		case now.Before(j.notBefore):
 			l.replan = true
 		default:
@@ -286,7 +291,7 @@
 		if !s.AtOnce {
 			grace = a.job.spec.SaveS
 		}
-		l.stop(a, grace)
+		l.halt(a, grace)
 	}
 	for _, as := range out.Assign {
 		j := back[as.Job]
@@ -314,10 +319,13 @@
 				j = &placement.Job{Spec: a.job.spec, Guaranteed: a.job.covered}
 				jobs[a.job] = j
 			}
-			v := &placement.Placed{Job: j, N: a.n, Overdue: a.overdue}
+			v := &placement.Placed{Job: j, N: a.n, Overdue: a.overdue, Falls: 1}
 			if a.seen == workers.Running {
 				v.RanS = now.Sub(a.since).Seconds()
 			}
+			if a.job.isGang() { // no task of it falls alone
+				v.Falls = a.job.spec.Tasks
+			}
 			placed[v] = a
 			p.Tasks = append(p.Tasks, v)
 		}
@@ -384,13 +392,13 @@
 		}
 		services := false
 		for _, a := range m.assigned {
-			if a.job.spec.Shape != jobs.Batch {
+			if !a.job.spec.Ends() {
 				services = true
 				continue
 			}
 			took, runS := now.Sub(a.since).Seconds(), l.runS(a.job.spec)
 			if a.outcome == open && !a.stop && (slowFactor*runS-took > runS || took > slowFactor*runS) {
-				l.stop(a, a.job.spec.SaveS)
+				l.halt(a, a.job.spec.SaveS)
 				l.replan = true
 			}
 		}
@@ -427,6 +435,15 @@
 func (l *Leader) assign(j *job, n int, m *machine, now time.Time) *assignment {
 	l.attempts++
 	a := &assignment{job: j, n: n, attempt: l.attempts, session: m.session, m: m, since: now, born: now}
+	if j.isGang() {
+		if a.gang = j.gang.number; a.gang == 0 {
+			// The number of the first task is that of all; its own is another.
+			a.gang = l.attempts
+			l.attempts++
+			a.attempt = l.attempts
+		}
+		j.joined(a)
+	}
 	slog.Debug("task placed", "task", a.name(), "machine", m.id, "term", l.token, "class", j.spec.Class)
 	l.count(a)
 	m.assigned[a.attempt] = a
--- a/internal/control/tasks.go
+++ b/internal/control/tasks.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"ospreyslip/internal/jobs"
+	"ospreyslip/internal/gang"
 	"ospreyslip/internal/placement"
 	"ospreyslip/internal/workers"
 )
@@ -73,6 +73,11 @@
 		j.zones[m.zone]--
 	}
 	if o == success && !j.over() && j.setDone(a.n) {
+		if j.isGang() {
+			for n := range j.spec.Tasks { // if one is done, all are
+				j.setDone(n)
+			}
+		}
 		if j.doneCount == j.spec.Tasks {
 			l.finish(j)
 		} else {
@@ -87,6 +92,9 @@
 	l.book.end(a)
 	l.show(j)
 	l.replan = true
+	if j.isGang() {
+		l.parted(j)
+	}
 }
 
 // see notes the state in which a task was seen.
@@ -129,6 +137,9 @@
 	}
 	if j.tasks[a.n] == a {
 		delete(j.tasks, a.n)
+		if len(j.tasks) == 0 {
+			j.gang = gangAttempt{}
+		}
 		if a.outcome == retry && !j.over() {
 			j.giveBack(a.n)
 			l.queue(j)
@@ -168,17 +179,17 @@
 	if r.NoticeS != nil {
 		l.notice(m, *r.NoticeS, now)
 	}
-	for attempt, token := range m.ordered {
-		if token < m.token && taskIn(r, attempt) == nil {
-			delete(m.ordered, attempt)
+	for begun, token := range m.ordered {
+		if token < m.token && taskIn(r, begun) == nil {
+			delete(m.ordered, begun)
 		}
 	}
 	for _, a := range m.assigned {
 		if a.outcome != open || a.session != r.Session {
 			continue
 		}
-		t := taskIn(r, a.attempt)
-		if t == nil || t.Task != a.name() {
+		t := taskIn(r, a.ref())
+		if t == nil {
 			l.absent(a, r.Token)
 			continue
 		}
@@ -186,11 +197,14 @@
 		a.doubt, a.sent = 0, true
 		if a.seen != t.State {
 			slog.Debug("task seen", "task", t.Task, "machine", m.id, "term", l.token, "state", t.State)
-			if t.State == workers.Running {
-				if a.seen == workers.Fetching || !a.restored {
+			switch t.State {
+			case workers.Running:
+				if a.seen == workers.Fetching || a.seen == workers.Gathering || !a.restored {
 					a.since = now
 				}
 				m.used(a.job.spec, l.cacheGB(m))
+			case workers.Gathering:
+				m.used(a.job.spec, l.cacheGB(m))
 			}
 			l.see(a, t.State)
 			l.show(a.job)
@@ -202,9 +216,9 @@
 	return true
 }
 
-func taskIn(r *workers.Report, attempt uint64) *workers.Task {
+func taskIn(r *workers.Report, of ref) *workers.Task {
 	for i := range r.Tasks {
-		if r.Tasks[i].Attempt == attempt {
+		if refOf(&r.Tasks[i]) == of {
 			return &r.Tasks[i]
 		}
 	}
@@ -226,13 +240,13 @@
 func (l *Leader) ended(a *assignment, t *workers.Task, now time.Time) {
 	j, m := a.job, a.m
 	switch {
-	case t.Cause == workers.CauseDone && j.spec.Shape == jobs.Batch:
+	case t.Cause == workers.CauseDone && j.spec.Ends():
 		j.errors, j.served = 0, now
 		clear(m.failures)
 		l.ran(a, now)
 		l.over(a, success)
 		return
-	case t.Cause == workers.CauseStopped:
+	case t.Cause == workers.CauseStopped, t.Cause == workers.CauseMatesGone, t.Cause == workers.CauseIncomplete:
 	case t.Cause == workers.CauseError:
 		// Mostly the machine's fault. A job that fails on several machines in
 		// a row is its user's mistake: it goes on being tried, ever more rarely.
@@ -288,10 +302,11 @@
 			continue
 		}
 		switch s := a.job.spec; {
-		case s.CheckpntS > 0 && s.SaveS < inS:
-			l.stop(a, s.SaveS)
+		case a.job.isGang() && gang.Saves(s.CheckpntS, s.SaveS, l.Derived.GangPeer.Seconds(), inS),
+			!a.job.isGang() && s.CheckpntS > 0 && s.SaveS < inS:
+			l.halt(a, s.SaveS)
 		case l.hopeless(a, inS, now):
-			l.stop(a, 0)
+			l.halt(a, 0)
 		}
 	}
 	l.replan = true
@@ -300,7 +315,7 @@
 // hopeless tells whether a task on a machine that will be taken should begin anew
 // elsewhere: if it stays, it most likely loses the time until then as well.
 func (l *Leader) hopeless(a *assignment, inS float64, now time.Time) bool {
-	if a.job.spec.Shape != jobs.Batch {
+	if !a.job.spec.Ends() {
 		return len(l.unmet) == 0 // it never completes; while others wait it would, too
 	}
 	ran := 0.0
@@ -382,14 +397,17 @@
 func (l *Leader) heed(m *machine, r *workers.Report, now time.Time) {
 	heard := len(m.told) == 0
 	for _, c := range m.told {
-		t := taskIn(r, c.Attempt)
+		t := taskIn(r, ref{c.Task, c.Attempt})
+		a := m.find(ref{c.Task, c.Attempt})
 		switch {
 		case c.Op == workers.OpRun:
 			heard = heard || t != nil
 		case c.Op == workers.OpClear:
 			heard = heard || t == nil
+		case a != nil && a.job.isGang() && t != nil && t.State == workers.Running:
+			heard = true // it runs on, in its report, until all have saved
 		default:
-			heard = heard || t == nil || t.State != workers.Running && t.State != workers.Fetching
+			heard = heard || t == nil || t.State != workers.Running && t.State != workers.Fetching && t.State != workers.Gathering
 		}
 	}
 	switch {
@@ -423,25 +441,25 @@
 		}
 		switch {
 		case a.job.over() && a.seen != "":
-			calls = append(calls, stopCall(a.name(), a.attempt, 0))
+			calls = append(calls, stopCall(a.name(), a.onWire(), 0))
 		case a.stop && a.seen != "":
 			if a.seen != workers.Saving {
-				calls = append(calls, stopCall(a.name(), a.attempt, a.grace))
+				calls = append(calls, stopCall(a.name(), a.onWire(), a.grace))
 			}
 		case a.job.over() || a.stop:
-		case a.seen == "" && !a.sent && !a.ordered && a.doubt == 0:
+		case a.seen == "" && !a.sent && !a.ordered && a.doubt == 0 && a.mayRun():
 			a.sent, a.ordered = true, !answer
-			calls = append(calls, workers.Call{Op: workers.OpRun, Task: a.name(), Attempt: a.attempt})
+			calls = append(calls, workers.Call{Op: workers.OpRun, Task: a.name(), Attempt: a.onWire()})
 		}
 	}
 	for _, t := range m.picture {
-		if m.assigned[t.Attempt] != nil {
+		if m.find(refOf(&t)) != nil {
 			continue // its end is not durable yet
 		}
 		switch {
 		case t.State != workers.Ended:
 			calls = append(calls, stopCall(t.Task, t.Attempt, 0))
-		case m.ordered[t.Attempt] >= m.token:
+		case m.ordered[refOf(&t)] >= m.token:
 			l.clearHeld = true
 		case answer:
 			calls = append(calls, workers.Call{Op: workers.OpClear, Task: t.Task, Attempt: t.Attempt})
--- /dev/null
+++ b/internal/placement/gang.go
@@ -0,0 +1,152 @@
+package placement
+
+import (
+	"slices"
+
+	"ospreyslip/internal/jobs"
+)
+
+// allows tells whether a shelf is of a kind and in a zone for the job.
+func (in *Input) allows(j *Job, s *shelf) bool {
+	return j.Spec.Allows(s.typ, s.zone, s.spot) && (in.only == "" || in.only == s.zone)
+}
+
+// rollBack undoes what a trial has changed.
+func (in *Input) rollBack() {
+	for _, f := range slices.Backward(in.undo) {
+		f()
+	}
+	in.undo = in.undo[:0]
+}
+
+// ways are the zones in which a gang can be placed, one after the other, if it has
+// to be in one; else the one empty name stands for all of them together.
+func (in *Input) ways(s *jobs.Spec) (zones []string) {
+	if !s.OneZone {
+		return []string{""}
+	}
+	for _, k := range in.Shelves.kinds {
+		if s.Allows(k.typ, k.zone, k.spot) && !slices.Contains(zones, k.zone) {
+			zones = append(zones, k.zone)
+		}
+	}
+	slices.Sort(zones)
+	return zones
+}
+
+// takeGang gives a gang its turn: all of its tasks find room, or room is made for
+// all that do not, or none is placed. A gang that waits for room keeps none from
+// others but what is being made for it, and what it is owed when it has waited for
+// too long.
+func (in *Input) takeGang(t turn, out *Output) {
+	j := t.Job
+	if j.held || j.Waiting == 0 || t.overdue && j.Overdue == 0 || in.roomInLimit(j, j.Waiting) < j.Waiting {
+		return
+	}
+	in.trial = true
+	defer func() { in.trial, in.only, in.undo = false, "", nil }()
+	zones := in.ways(j.Spec)
+	if in.placeGang(t, zones, out) || in.clearFor(j, zones, out) {
+		return
+	}
+	if t.overdue {
+		in.keepFor(j, zones)
+		return
+	}
+	out.Unmet = append(out.Unmet, Demand{j, j.Waiting})
+}
+
+// fits puts as many of a gang's tasks on machines as have room, in one zone if so
+// named, and tells when the last of them will have its image.
+func (in *Input) fits(j *Job, zone string) (on []*Machine, fetch float64) {
+	in.only = zone
+	for len(on) < j.Waiting {
+		m := in.choose(j, false)
+		if m == nil {
+			break
+		}
+		fetch = max(fetch, m.fetch(j.Spec))
+		in.put(j, m)
+		on = append(on, m)
+	}
+	return on, fetch
+}
+
+// placeGang places all tasks where the last one starts soonest.
+func (in *Input) placeGang(t turn, zones []string, out *Output) bool {
+	j := t.Job
+	best, soonest := -1, 0.0
+	for i, zone := range zones {
+		on, fetch := in.fits(j, zone)
+		in.rollBack()
+		if len(on) == j.Waiting && (best < 0 || fetch < soonest) {
+			best, soonest = i, fetch
+		}
+		if best >= 0 && soonest == 0 {
+			break
+		}
+	}
+	if best < 0 {
+		return false
+	}
+	on, _ := in.fits(j, zones[best])
+	for _, m := range on {
+		out.Assign = append(out.Assign, Assignment{j, m, t.overdue})
+	}
+	j.Waiting, j.Overdue = 0, 0
+	return true
+}
+
+// clearFor stops lower work for the tasks that find no room, if that makes room for
+// all of them. Until it is free, what there is is kept.
+func (in *Input) clearFor(j *Job, zones []string, out *Output) bool {
+	if !in.mayMakeRoom(j) {
+		return false
+	}
+	best, cheapest := -1, 0
+	for i, zone := range zones {
+		var trial Output
+		on, _ := in.fits(j, zone)
+		if len(on)+in.makeRoom(j, j.Waiting-len(on), &trial, nil) == j.Waiting && (best < 0 || len(trial.Stop) < cheapest) {
+			best, cheapest = i, len(trial.Stop)
+		}
+		in.rollBack()
+	}
+	if best < 0 {
+		return false
+	}
+	on, _ := in.fits(j, zones[best])
+	in.makeRoom(j, j.Waiting-len(on), out, nil)
+	j.held = true
+	return true
+}
+
+// keepFor keeps room from others where most of a gang fits.
+func (in *Input) keepFor(j *Job, zones []string) {
+	best, most := 0, -1
+	for i, zone := range zones {
+		on, _ := in.fits(j, zone)
+		in.rollBack()
+		if len(on) > most {
+			best, most = i, len(on)
+		}
+	}
+	if len(zones) == 0 {
+		return
+	}
+	on, _ := in.fits(j, zones[best])
+	left := j.Waiting - len(on)
+	for left > 0 {
+		m := in.Shelves.roomiest(func(m *Machine) bool {
+			_, taken := in.touched[m]
+			return !taken && m.Total.Fits(Of(j.Spec)) && m.open(j) && (in.only == "" || m.Zone == in.only)
+		})
+		if m == nil {
+			return
+		}
+		in.setFree(m, Amount{})
+		for room := m.Total; left > 0 && room.Fits(Of(j.Spec)); left-- {
+			room = room.Plus(Of(j.Spec), -1)
+		}
+	}
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -44,6 +44,8 @@
 	StartS     float64        // seconds left to its aim to start; 0 without one
 	Patient    bool           // others need not yet stop for its guarantee
 	Fragile    bool           // a task that loses its machine will be late
+
+	held bool // room is being made for it, or kept
 }
 
 // Input is the whole picture. Plan uses up all but the shelves.
@@ -59,6 +61,9 @@
 
 	touched map[*Machine]Amount // what was free before the plan
 	filled  map[*Machine]bool
+	only    string   // zone to look at, if not empty
+	undo    []func() // what a trial has changed
+	trial   bool
 }
 
 // Jobs without a deadline sort behind those with one, and jobs that have none
@@ -174,6 +179,11 @@
 	}
 	slices.SortStableFunc(queue, before)
 	for len(queue) > 0 {
+		if queue[0].Spec.Shape == jobs.Gang {
+			in.takeGang(queue[0], &out)
+			queue = queue[1:]
+			continue
+		}
 		n := neighbours(queue)
 		if n > 1 {
 			for _, t := range queue[:n] {
@@ -290,6 +300,9 @@
 	if _, ok := in.touched[m]; !ok {
 		in.touched[m] = m.Free
 	}
+	if was := m.Free; in.trial {
+		in.undo = append(in.undo, func() { in.Shelves.Set(m, was) })
+	}
 	in.Shelves.Set(m, free)
 }
 
@@ -326,17 +339,18 @@
 }
 
 // choose returns the fullest machine that fits. A service starts sooner where
-// its image is, so that goes first for it and breaks ties for others. What has no
+// its image is, and a gang with its last image: that goes first for them and breaks
+// ties for others. What has no
 // time to begin twice goes to a machine that is not taken back, if one has room. If
 // so asked, it returns nil unless such a machine has the image.
 func (in *Input) choose(j *Job, cached bool) *Machine {
 	need := Of(j.Spec)
-	service := j.Spec.Shape == jobs.Service
+	soon := j.Spec.Shape != jobs.Batch // its start is what counts
 	var best *Machine
 	var bestKey [3]float64
 	least := math.Inf(1) // that any machine would have left
 	for _, s := range in.Shelves.kinds {
-		if !j.Spec.Allows(s.typ, s.zone, s.spot) || !ZoneOpen(j.Spec, j.Zones, s.zone) {
+		if !in.allows(j, s) || !ZoneOpen(j.Spec, j.Zones, s.zone) {
 			continue
 		}
 		s.from(need, func(m *Machine) bool {
@@ -350,7 +364,7 @@
 			fetch := m.fetch(j.Spec)
 			key := [3]float64{0, left, fetch}
 			switch {
-			case service:
+			case soon:
 				key = [3]float64{fetch, left, 0}
 			case j.Fragile && m.Spot:
 				key[0] = 1
@@ -359,7 +373,7 @@
 				best, bestKey = m, key
 			}
 			// The next ones on this shelf are emptier.
-			return fetch > 0 && (service || left == bestKey[1])
+			return fetch > 0 && (soon || left == bestKey[1])
 		})
 	}
 	if cached && best != nil && bestKey[1] > least {
@@ -408,6 +422,12 @@
 func (in *Input) counted(j *Job, m *Machine) {
 	j.Zones[m.Zone]++
 	in.Used[j.Spec.Team] = in.Used[j.Spec.Team].Plus(Of(j.Spec), 1)
+	if in.trial {
+		in.undo = append(in.undo, func() {
+			j.Zones[m.Zone]--
+			in.Used[j.Spec.Team] = in.Used[j.Spec.Team].Plus(Of(j.Spec), -1)
+		})
+	}
 }
 
 // mayStop tells whether a task may be stopped to make room for j.
@@ -452,7 +472,7 @@
 	need := Of(j.Spec)
 	var ways sacrifices
 	for _, s := range in.Shelves.kinds {
-		if !j.Spec.Allows(s.typ, s.zone, s.spot) {
+		if !in.allows(j, s) {
 			continue
 		}
 		s.all(func(m *Machine) {
@@ -476,8 +496,12 @@
 			continue
 		}
 		m := w.on
+		if tasks, freeing := m.Tasks, m.Freeing; in.trial {
+			m.Tasks = slices.Clone(tasks)
+			in.undo = append(in.undo, func() { m.Tasks, m.Freeing = tasks, freeing })
+		}
 		for _, v := range w.stop {
-			out.Stop = append(out.Stop, Stop{m, v, j.Spec.Shape == jobs.Service})
+			out.Stop = append(out.Stop, Stop{m, v, j.Spec.Shape != jobs.Batch})
 			m.Tasks = slices.DeleteFunc(m.Tasks, func(p *Placed) bool { return p == v })
 			m.Freeing = m.Freeing.Plus(Of(v.Job.Spec), 1)
 		}
@@ -526,6 +550,9 @@
 	return last
 }
 
+// cost is what stopping a task loses.
+func (p *Placed) cost() float64 { return float64(max(1, p.Falls)) * (1 + p.RanS*p.Job.Spec.CPUs) }
+
 // victims returns the cheapest tasks to stop on a machine.
 func (in *Input) victims(j *Job, m *Machine, need Amount) (w sacrifice, ok bool) {
 	if !m.open(j) {
@@ -543,12 +570,12 @@
 		}
 	}
 	slices.SortStableFunc(order, func(a, b *Placed) int {
-		return cmp.Or(cmp.Compare(a.Job.Spec.Rank(), b.Job.Spec.Rank()), cmp.Compare(a.RanS, b.RanS))
+		return cmp.Or(cmp.Compare(a.Job.Spec.Rank(), b.Job.Spec.Rank()), cmp.Compare(a.cost(), b.cost()))
 	})
 	for _, v := range order {
 		room = room.Plus(Of(v.Job.Spec), 1)
 		w.stop = append(w.stop, v)
-		w.cost += 1 + v.RanS*Of(v.Job.Spec).CPUs
+		w.cost += v.cost()
 		if room.Fits(need) {
 			return w, true
 		}
--- a/internal/workers/message.go
+++ b/internal/workers/message.go
@@ -16,20 +16,23 @@
 
 // The states of a task on its machine.
 const (
-	Fetching = "fetching"
-	Running  = "running"
-	Saving   = "saving"
-	Ended    = "ended"
+	Fetching  = "fetching"
+	Gathering = "gathering" // a gang's, which waits for the others
+	Running   = "running"
+	Saving    = "saving"
+	Ended     = "ended"
 )
 
 // Why a task has ended.
 const (
-	CauseDone    = "done"
-	CauseStopped = "stopped"
-	CauseError   = "error"
-	CauseNoRoom  = "no_room"
-	CauseBusy    = "busy"
-	CauseUnknown = "unknown"
+	CauseDone       = "done"
+	CauseStopped    = "stopped"
+	CauseError      = "error"
+	CauseNoRoom     = "no_room"
+	CauseBusy       = "busy"
+	CauseUnknown    = "unknown"
+	CauseMatesGone  = "mates_gone" // another task of the gang is gone
+	CauseIncomplete = "incomplete" // the gang was not complete in time
 )
 
 // Report is a worker's picture of its machine.
