Gangs by test: in every trouble at every stage; a gang is not begun in parts

The stand-in plays gangs. TestGangInTrouble found that a gang whose ends became durable one after the other was begun again with the first of them, and stayed a part for ever.

--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -7,7 +7,6 @@
 	"slices"
 	"time"
 
-	"ospreyslip/internal/gang"
 	"ospreyslip/internal/jobs"
 	"ospreyslip/internal/placement"
 	"ospreyslip/internal/workers"
@@ -269,8 +268,9 @@
 		switch {
 		case j.over() || j.waiting == 0:
 			delete(l.queued, j)
-		case j.isGang() && j.verdict() != gang.Anew:
-			// looked at again when the last task of its attempt is forgotten
+		case j.isGang() && len(j.tasks) > 0:
+			// Looked at again when the last task of its attempt is forgotten. (Begun
+			// earlier, with those whose ends were durable first, it stayed a part.)
 		case now.Before(j.notBefore):
 			l.replan = true
 		default:
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -48,6 +48,8 @@
 	done   chan struct{}
 }
 
+var gangWait, gangPeer = 12.0, 4.0
+
 var testTypes = []jobs.MachineType{{
 	Name: "c4", CPUs: 4, RAMGB: 32, CacheGB: 50, FetchGBPS: 1, Price: 0.3, SpotPrice: 0.1, BootS: 10, Zones: []string{"a", "b", "c"},
 }}
@@ -62,7 +64,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		c := &cluster{t: t, ctx: ctx, nodes: map[string]*life{}, names: []string{"perch-0", "perch-1", "perch-2"}, tweak: tweak}
-		pace := standin.Pace{Report: 2 * time.Second, Lease: 20 * time.Second, Fetch: time.Second, Nodes: c.names, Addrs: map[string]string{}}
+		pace := standin.Pace{Report: 2 * time.Second, Lease: 20 * time.Second, Fetch: time.Second, GangWait: 12 * time.Second, GangPeer: 4 * time.Second, Nodes: c.names, Addrs: map[string]string{}}
 		for _, n := range c.names {
 			pace.Addrs[n] = addrOf(n)
 		}
@@ -96,7 +98,7 @@
 		Deployment: settings.Deployment{
 			Nodes: 3, Zones: []string{"a", "b", "c"},
 			Teams:   []settings.Team{{Name: "red", CPUs: 8, CPUsMax: 16}, {Name: "blue", CPUs: 8, CPUsMax: 40}},
-			Workers: settings.Workers{ReportS: 2, LeaseS: 20, CancelS: 40},
+			Workers: settings.Workers{ReportS: 2, LeaseS: 20, CancelS: 40, GangWaitS: &gangWait, GangPeerS: &gangPeer},
 			State:   settings.State{RPS: 150, WriteRPS: 50, ValueKB: 32, TxnOps: 12},
 			Cloud:   settings.Cloud{RPS: 6, ListLagS: 4},
 			Limits:  settings.Limits{Cores: 0.1, MemoryMB: 100, MaxSockets: 1000},
--- /dev/null
+++ b/internal/node/gang_test.go
@@ -0,0 +1,221 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"ospreyslip/internal/jobs"
+	"ospreyslip/internal/standin"
+)
+
+// gang is a job of two tasks a machine, so that tasks of one attempt share some.
+func gang(id string, tasks int, seconds float64) *jobs.Spec {
+	return &jobs.Spec{
+		ID: id, Class: "joint", Team: "blue", Shape: jobs.Gang, Priority: jobs.Standard, Tasks: tasks,
+		CPUs: 2, RAMGB: 1, Image: "joint", ImageGB: 1, OneZone: true, EstimateS: seconds, CheckpntS: 10, SaveS: 2,
+	}
+}
+
+func (c *cluster) gangRuns(id string, tasks int) func() bool {
+	return func() bool { return c.on(id, tasks) == tasks && c.world.Gangs(id) > 0 }
+}
+
+func TestGang(t *testing.T) {
+	inCluster(t, nil, func(c *cluster) {
+		c.submit("perch-0", gang("j-1", 5, 20))
+		c.submit("perch-1", gang("j-2", 1, 5))
+		apart := gang("j-3", 6, 10)
+		apart.OneZone, apart.Spread = false, true
+		c.submit("perch-2", apart)
+		c.within(40*time.Second, "a gang runs", c.gangRuns("j-1", 5))
+		if status, view := c.ask("GET", "perch-2", "/v1/jobs/j-1", nil); status != 200 {
+			t.Errorf("%d %v", status, view)
+		}
+		for _, id := range []string{"j-1", "j-2", "j-3"} {
+			c.withinDone(60*time.Second, id)
+			if n := c.world.Gangs(id); n != 1 {
+				t.Errorf("%s started %d times", id, n)
+			}
+		}
+		if _, view := c.ask("GET", "perch-2", "/v1/jobs/j-1", nil); view["done"] != 5.0 {
+			t.Errorf("done: %v", view)
+		}
+		many := gang("j-4", 21, 10) // 42 CPUs, and the team may use 40
+		if status, _ := c.ask("POST", "perch-0", "/v1/jobs", asUser(many)); status != http.StatusUnprocessableEntity {
+			t.Errorf("more than the team may use at a time: %d", status)
+		}
+		large := gang("j-5", 2, 10)
+		large.CPUs = 5
+		if status, _ := c.ask("POST", "perch-0", "/v1/jobs", asUser(large)); status != http.StatusUnprocessableEntity {
+			t.Errorf("a task fits no machine: %d", status)
+		}
+		c.within(90*time.Second, "machines returned", func() bool { return len(c.world.Machines()) == 0 })
+		if live := c.inBook(); len(live) > 0 {
+			t.Errorf("still in the book: %v", live)
+		}
+	})
+}
+
+// Gangs that want the same machines take them one after the other: none holds a
+// half that the other waits for, and neither starves behind an array that fills
+// every gap.
+func TestGangsCompete(t *testing.T) {
+	inCluster(t, nil, func(c *cluster) {
+		c.world.Capacity(3) // 12 CPUs
+		c.submit("perch-0", batch("j-9", 400, 8))
+		c.run(30 * time.Second)
+		for i := range 3 {
+			c.submit("perch-1", gang(fmt.Sprint("j-", i+1), 2, 15))
+		}
+		for i := range 3 {
+			c.withinDone(6*time.Minute, fmt.Sprint("j-", i+1))
+		}
+		c.withinDone(10*time.Minute, "j-9")
+	})
+}
+
+// Whatever befalls a gang, and whenever, it starts whole or not at all, no task is
+// on two machines, and in the end it is done.
+func TestGangInTrouble(t *testing.T) {
+	leader := func(c *cluster) {
+		old := c.leader()
+		c.crash(old)
+		c.run(300 * time.Millisecond)
+		c.start(old)
+	}
+	kill := func(c *cluster) {
+		for i := range 4 {
+			if on := c.world.On(fmt.Sprint("j-1/", i)); len(on) > 0 {
+				c.world.Kill(on[0])
+				return
+			}
+		}
+	}
+	hang := func(c *cluster) {
+		if on := c.world.On("j-1/2"); len(on) > 0 {
+			w := c.world.Worker(on[0])
+			w.Hang(true)
+			c.run(6 * time.Second)
+			w.Hang(false)
+		}
+	}
+	lateOrders := func(c *cluster) {
+		c.world.Net.Lateness = 25 * time.Second
+		c.world.Net.Faults(func(_, _, path string) standin.Fault {
+			if path == "/orders" {
+				return standin.Copied
+			}
+			return standin.Deliver
+		})
+	}
+	lateReports := func(c *cluster) {
+		c.world.Net.Lateness = 25 * time.Second
+		c.world.Net.Faults(func(_, _, path string) standin.Fault {
+			if path == "/v1/report" {
+				return standin.Copied
+			}
+			return standin.Deliver
+		})
+	}
+	lostOrders := func(c *cluster) {
+		n := 0
+		c.world.Net.Lateness = 10 * time.Second
+		c.world.Net.Faults(func(_, _, path string) standin.Fault {
+			if n++; path == "/orders" && n%3 == 0 {
+				return standin.Late
+			}
+			return standin.Deliver
+		})
+		c.run(20 * time.Second)
+		c.world.Net.Faults(nil)
+	}
+	for name, trouble := range map[string]func(*cluster){
+		"leader lost": leader, "machine lost": kill, "machine hangs": hang,
+		"orders come twice": lateOrders, "reports come twice": lateReports, "orders held up": lostOrders,
+		"machine, then leader": func(c *cluster) { kill(c); c.run(time.Second); leader(c) },
+		"leader, then machine": func(c *cluster) { leader(c); kill(c) },
+	} {
+		// From its submission on: placed, fetching, gathering, running, done. Its
+		// machines are up in some of these cases, and are to be rented in others.
+		for _, after := range []time.Duration{100, 400, 700, 1000, 1300, 1700, 2200, 6000, 11800, 12300} {
+			after *= time.Millisecond
+			t.Run(fmt.Sprint(name, " after ", after), func(t *testing.T) {
+				inCluster(t, nil, func(c *cluster) {
+					c.submit("perch-0", gang("j-8", 6, 20)) // leaves its machines idle
+					c.within(40*time.Second, "machines up", c.gangRuns("j-8", 6))
+					c.withinDone(40*time.Second, "j-8")
+					c.submit("perch-0", gang("j-1", 4, 10))
+					c.run(after)
+					trouble(c)
+					c.withinDone(4*time.Minute, "j-1")
+					c.run(40 * time.Second)
+				})
+			})
+		}
+	}
+}
+
+// A cancelled gang is gone, in whatever state it was.
+func TestGangCancelled(t *testing.T) {
+	for _, after := range []time.Duration{0, 300, 900, 1500, 3000, 8000, 16000, 18000} {
+		after *= time.Millisecond
+		t.Run(after.String(), func(t *testing.T) {
+			inCluster(t, nil, func(c *cluster) {
+				c.submit("perch-0", service("j-7", 2)) // has machines up
+				c.within(40*time.Second, "machines up", func() bool { return c.on("j-7", 2) == 2 })
+				c.submit("perch-0", gang("j-1", 7, 60))
+				c.run(after)
+				c.withdraw("perch-1", "j-1")
+				c.run(20 * time.Second)
+				if n := c.on("j-1", 7); n != 0 {
+					t.Errorf("%d tasks of a cancelled gang", n)
+				}
+			})
+		})
+	}
+}
+
+// A service takes the room of a gang: all of it stops, is told in time to save, and
+// goes on from there later.
+func TestGangMakesRoom(t *testing.T) {
+	inCluster(t, nil, func(c *cluster) {
+		c.world.Capacity(2)
+		low := gang("j-1", 4, 60)
+		low.Priority = jobs.BestEffort
+		c.submit("perch-0", low)
+		c.within(40*time.Second, "the gang runs", c.gangRuns("j-1", 4))
+		c.run(25 * time.Second)
+		s := service("j-2", 2)
+		s.Spread = false
+		c.submit("perch-0", s)
+		c.within(15*time.Second, "service up", func() bool { return c.on("j-2", 2) == 2 })
+		c.within(10*time.Second, "the gang is gone", func() bool { return c.on("j-1", 4) == 0 })
+		c.withdraw("perch-0", "j-2")
+		c.withinDone(80*time.Second, "j-1")
+	})
+}
+
+// A gang in one zone that goes dark is not begun in another while a task of it may
+// still be there.
+func TestGangInDarkZone(t *testing.T) {
+	inCluster(t, nil, func(c *cluster) {
+		c.submit("perch-0", gang("j-1", 4, 60))
+		c.within(40*time.Second, "the gang runs", c.gangRuns("j-1", 4))
+		c.run(5 * time.Second)
+		zone := c.world.ZoneOf(c.world.On("j-1/0")[0])
+		c.world.CloudDown(true)
+		c.world.Net.Faults(func(from, to, _ string) standin.Fault {
+			if c.world.ZoneOf(from) == zone || c.world.ZoneOf(to) == zone {
+				return standin.Silent
+			}
+			return standin.Deliver
+		})
+		c.run(15 * time.Second)
+		c.world.CloudDown(false)
+		c.run(30 * time.Second)
+		c.world.Net.Faults(nil)
+		c.withinDone(4*time.Minute, "j-1")
+	})
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -17,6 +17,7 @@
 // Pace is what all workers have in common.
 type Pace struct {
 	Report, Lease, Fetch time.Duration
+	GangWait, GangPeer   time.Duration
 	Nodes                []string          // names, in the order in which they are tried
 	Addrs                map[string]string // where they listen
 }
@@ -164,9 +165,22 @@
 		if t.State == workers.Fetching && (w.images[job.Image] || now.Sub(t.since) >= w.pace.Fetch) {
 			w.images[job.Image] = true
 			t.State, t.since = workers.Running, now
+			if job.Shape == jobs.Gang {
+				t.State = workers.Gathering
+			}
 			w.world.started(w, t.Task)
 			w.poke()
 		}
+		if job != nil && job.Shape == jobs.Gang && (t.State == workers.Gathering || t.State == workers.Running) {
+			was := t.State
+			state, cause, saved := w.world.gangStep(w, t)
+			if state == workers.Ended {
+				t.Saved = saved
+				w.end(t, cause)
+			} else if t.State = state; state != was {
+				w.poke()
+			}
+		}
 		if t.State == workers.Running && job.Shape == jobs.Batch && (w.world.wasDone(id, n) || now.Sub(t.since).Seconds() >= job.EstimateS*max(1, w.slowness)) {
 			w.end(t, workers.CauseDone)
 		}
@@ -192,7 +206,7 @@
 }
 
 func (w *Worker) end(t *running, cause string) {
-	if t.State == workers.Running || t.State == workers.Saving {
+	if t.State == workers.Gathering || t.State == workers.Running || t.State == workers.Saving {
 		w.world.left(w, t.Task, cause)
 	}
 	t.State, t.Cause = workers.Ended, cause
@@ -216,6 +230,9 @@
 			if t != nil && t.State != workers.Ended {
 				id, _, _ := workers.SplitTask(c.Task)
 				job := w.world.job(id)
+				if job.Shape == jobs.Gang && c.GraceS != nil && w.world.gangStop(t, *c.GraceS) {
+					continue
+				}
 				if t.State == workers.Running && job.CheckpntS > 0 && c.GraceS != nil && *c.GraceS >= job.SaveS {
 					t.State = workers.Saving
 					t.saves = time.Now().Add(time.Duration(job.SaveS * float64(time.Second)))
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -36,6 +36,8 @@
 	on        map[string]map[string]bool // task to machines
 	cancelled map[string]time.Time
 	starts    int
+	gangs     map[gangKey]*gang
+	progress  map[string]time.Duration // that a gang has saved
 	Cancel    time.Duration
 	broken    []string
 	capacity  int
@@ -59,7 +61,7 @@
 	return &World{
 		Net: NewNet(), State: NewState(), Types: types, Boot: 10 * time.Second, Lag: 4 * time.Second, Pace: pace, ctx: ctx,
 		machines: map[string]*rented{}, charters: map[string][]string{}, specs: map[string]*jobs.Spec{}, done: map[string]bool{},
-		on: map[string]map[string]bool{}, cancelled: map[string]time.Time{}, Cancel: time.Hour, capacity: 1000,
+		gangs: map[gangKey]*gang{}, progress: map[string]time.Duration{}, on: map[string]map[string]bool{}, cancelled: map[string]time.Time{}, Cancel: time.Hour, capacity: 1000,
 	}
 }
 
@@ -208,6 +210,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	delete(w.on[t.Task], wk.rep.Machine)
+	if id, _, _ := workers.SplitTask(t.Task); w.specs[id] != nil && w.specs[id].Shape == jobs.Gang && cause != workers.CauseDone {
+		w.gangLeft(t)
+	}
 	if cause == workers.CauseDone {
 		w.done[t.Task] = true
 	}
