--- /dev/null
+++ b/internal/control/production_test.go
@@ -0,0 +1,170 @@
+package control
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+
+	gocmp "github.com/google/go-cmp/cmp"
+
+	"ospreyslip/internal/jobs"
+	"ospreyslip/internal/state"
+)
+
+// asProduction reads the book as version 0.3.0 does, which may lead at any time of
+// an upgrade: the order of pages, what overrules what, and the fields that it knows.
+func asProduction(t *testing.T, pairs []state.Pair, chunkTasks int) (out []string) {
+	type page struct {
+		Number uint64
+		Begun  []struct {
+			M       string
+			Session uint64
+			Tasks   []struct {
+				J string
+				N int
+				A uint64
+			}
+		}
+		Over []uint64
+		Done []struct {
+			J string
+			C int
+			B string
+		}
+	}
+	var pages []page
+	for _, p := range pairs {
+		if !strings.HasPrefix(p.Key, "book/") {
+			continue
+		}
+		var pg page
+		if err := json.Unmarshal(p.Value, &pg); err != nil {
+			t.Fatal(p.Key, err)
+		}
+		pages = append(pages, pg)
+	}
+	slices.SortFunc(pages, func(a, b page) int { return cmp.Compare(a.Number, b.Number) })
+	here, done := map[uint64]string{}, map[string]bool{}
+	for _, p := range pages {
+		for _, b := range p.Begun {
+			for _, tk := range b.Tasks {
+				here[tk.A] = fmt.Sprint(tk.J, "/", tk.N, " ", tk.A, " on ", b.M, " ", b.Session)
+			}
+		}
+		for _, a := range p.Over {
+			delete(here, a)
+		}
+		for _, d := range p.Done {
+			bits, err := base64.StdEncoding.DecodeString(d.B)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for i := range 8 * len(bits) {
+				if bits[i/8]&(1<<(i%8)) != 0 {
+					done[fmt.Sprintf("done %s/%05d", d.J, d.C*chunkTasks+i)] = true
+				}
+			}
+		}
+	}
+	for _, s := range here {
+		out = append(out, s)
+	}
+	for s := range done {
+		out = append(out, s)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// kept reads the records that production wrote on a day with a lost leader, and
+// what was on machines at that moment.
+func kept(t *testing.T) (pairs []state.Pair, specs []*jobs.Spec, world []string) {
+	raw, err := os.ReadFile("testdata/production/state.jsonl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for lines := bufio.NewScanner(bytes.NewReader(raw)); lines.Scan(); {
+		var p state.Pair
+		if err := json.Unmarshal(lines.Bytes(), &p); err != nil {
+			t.Fatal(err)
+		}
+		p.Mark = uint64(len(pairs) + 1)
+		pairs = append(pairs, p)
+		if id := jobs.IDOf(p.Key); id != p.Key {
+			var rec jobs.Record
+			if err := json.Unmarshal(p.Value, &rec); err != nil {
+				t.Fatal(p.Key, err)
+			}
+			specs = append(specs, rec.Spec)
+		}
+	}
+	raw, err = os.ReadFile("testdata/production/world.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := json.Unmarshal(raw, &world); err != nil {
+		t.Fatal(err)
+	}
+	return pairs, specs, world
+}
+
+// What production wrote is read, and continued within the limits to come; what is
+// written then, production reads as it was meant.
+func TestContinuesProduction(t *testing.T) {
+	quiet(t)
+	pairs, specs, world := kept(t)
+	s := &pageStore{t: t, keys: map[string]state.Pair{}, value: 2 << 10, ops: 4}
+	for _, p := range pairs {
+		if strings.HasPrefix(p.Key, bookPrefix) {
+			s.keys[p.Key] = p
+		}
+		s.rev = max(s.rev, p.Mark)
+	}
+	l := bookLeader(s, 5, specs)
+	for _, line := range world {
+		task, m, on := strings.Cut(line, " on ")
+		if a := l.machines[m]; on && (a == nil || !slices.ContainsFunc(slices.Collect(maps.Values(a.assigned)), func(a *assignment) bool { return a.name() == task })) {
+			t.Errorf("%s, and the book does not say so", line)
+		}
+	}
+	if d := gocmp.Diff(asProduction(t, s.pairs(), l.Derived.ChunkTasks), l.durable()); d != "" {
+		t.Errorf("production reads it otherwise: %s", d)
+	}
+	rnd := rand.New(rand.NewPCG(1, 1))
+	for step := range 150 {
+		l.stir(rnd)
+		b := l.compose()
+		if failed := s.apply(b); len(failed) > 0 {
+			t.Fatal(failed)
+		}
+		for _, f := range b.done {
+			f(s.rev)
+		}
+		if d := gocmp.Diff(asProduction(t, s.pairs(), l.Derived.ChunkTasks), l.durable()); d != "" {
+			t.Fatalf("step %d: production reads it otherwise: %s", step, d)
+		}
+		if step%40 == 39 { // and leads for a while: its pages are as large as it likes
+			s.value, s.ops = 32<<10, 12
+			l = bookLeader(s, uint64(6+step), specs)
+			for range 5 {
+				l.stir(rnd)
+				b := l.compose()
+				s.apply(b)
+				for _, f := range b.done {
+					f(s.rev)
+				}
+			}
+			s.value, s.ops = 2<<10, 4
+			l = bookLeader(s, uint64(7+step), specs)
+		}
+	}
+}
--- a/internal/peer/message_test.go
+++ b/internal/peer/message_test.go
@@ -1,6 +1,9 @@
 package peer
 
 import (
+	"encoding/hex"
+	"os"
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -8,6 +11,25 @@
 	"ospreyslip/internal/jobs"
 )
 
+// Controllers of the version before this one send and read these very bytes, side
+// by side with this one while an upgrade goes on.
+func TestProductionMessages(t *testing.T) {
+	raw, err := os.ReadFile("testdata/production.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	progress := Progress{Served: true, Counts: map[string]jobs.Counts{"j-000412": {Done: 3, Running: 13}}}
+	ours := map[string][]byte{
+		"progress": encodeProgress("perch-0", progress), "ask": encodeAsk("perch-1", ask{7, 41}), "promise": encodePromise("perch-2", promise{7, true}),
+	}
+	for line := range strings.Lines(string(raw)) {
+		kind, digits, _ := strings.Cut(strings.TrimSpace(line), " ")
+		if got := hex.EncodeToString(ours[kind]); got != digits {
+			t.Errorf("%s is sent as\n%s, production sends\n%s", kind, got, digits)
+		}
+	}
+}
+
 func TestMessages(t *testing.T) {
 	progress := Progress{Served: true, Counts: map[string]jobs.Counts{"j-1": {Done: 3, Running: 2}, "j-2": {Running: 1}}}
 	for _, tc := range []struct {
