A gang that its image would make late takes the place of lower work where the image is

As for services, the place of lower work on machines with the image starts it sooner. Now neither stops a gang only to start sooner.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -68,6 +68,7 @@
 	filled  map[*Machine]bool
 	only    string   // zone to look at, if not empty
 	cached  bool     // look only at machines that have the job's image
+	spare   bool     // stop no gang
 	undo    []func() // what a trial has changed
 	trial   bool
 }
@@ -477,6 +478,8 @@
 	if !in.mayMakeRoom(j) {
 		return 0
 	}
+	// To start a little sooner is no reason to stop a gang.
+	in.spare = in.cached || will != nil
 	need := Of(j.Spec)
 	var ways sacrifices
 	for _, s := range in.Shelves.kinds {
@@ -580,7 +583,7 @@
 	}
 	var order []*Placed
 	for _, v := range m.Tasks {
-		if mayStop(in, j, v) {
+		if mayStop(in, j, v) && !(in.spare && v.Job.Spec.Shape == jobs.Gang) {
 			order = append(order, v)
 		}
 	}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -133,6 +133,15 @@
 			g.StartS = 1
 			in.Jobs = []*Job{g}
 		}, "end j-9/0@b1"},
+		{"but not in the place of a gang", func(in *picture) {
+			has := box("b1", 4)
+			has.Images["img"] = true
+			running(has, job("j-9", 1, 4, func(s *jobs.Spec) { gang(s); low(s) }), 0, 5)
+			in.Machines = []*Machine{box("a1", 4), has}
+			g := job("j-1", 2, 2, gang)
+			g.StartS = 1
+			in.Jobs = []*Job{g}
+		}, "j-1/0>a1 j-1/1>a1"},
 		{"others stop before a gang does", func(in *picture) {
 			m, n := box("a1", 4), box("a2", 4)
 			g := job("j-8", 4, 4, func(s *jobs.Spec) { gang(s); low(s) })
