Room that falls free is kept for a gang, for a quarter of its run time

Some ten CPUs a second fall free in a zone, so that to keep them for a few seconds is enough, and costs little. Ruled out: verdicts and leases (its tasks were off 6 s after the loss), renting (the cloud was away).

--- a/internal/control/model.go
+++ b/internal/control/model.go
@@ -35,6 +35,7 @@
 	coveredAt time.Time // since when
 	tooks     []float64 // how long its completed tasks ran, as logarithms, in order
 	gang      gangAttempt
+	whole     time.Time // since when all tasks of a gang wait
 	clearing  time.Time // when room was last being made for all of a gang
 	errors    int       // failures in a row, over all machines
 	notBefore time.Time
@@ -55,7 +56,7 @@
 
 func newJob(id string, spec *jobs.Spec, mark uint64, atMs int64, now time.Time) *job {
 	return &job{
-		id: id, spec: spec, mark: mark, order: mark, atMs: atMs, waiting: spec.Tasks, served: now,
+		id: id, spec: spec, mark: mark, order: mark, atMs: atMs, waiting: spec.Tasks, served: now, whole: now,
 		done: make([]uint64, (spec.Tasks+63)/64), chunks: map[int]*chunk{},
 		tasks: map[int]*assignment{}, zones: map[string]int{},
 	}
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -168,6 +168,11 @@
 	}
 }
 
+// keepShare is the part of its run time for which room is kept for a gang: what stands
+// idle meanwhile is little next to its own work, and where many tasks end all the
+// time it mostly suffices.
+const keepShare = 0.25
+
 // patientShare is the part of the time in which work within a guarantee should
 // start for which it waits for tasks to end by themselves.
 const patientShare = 0.5
@@ -197,6 +202,7 @@
 	if j.spec.Shape == jobs.Batch && j.spec.CheckpntS == 0 && p.DueS < placement.NoDeadline {
 		p.Fragile = p.DueS < 2*l.runS(j.spec)
 	}
+	p.Keep = j.isGang() && now.Sub(j.whole).Seconds() < keepShare*l.runS(j.spec)
 	p.Clearing = now.Sub(j.clearing) < l.Derived.Lasting
 	if p.Overdue = l.overdue(j, now); p.Overdue > 0 && j.isGang() {
 		p.Overdue = j.waiting
--- a/internal/control/tasks.go
+++ b/internal/control/tasks.go
@@ -138,7 +138,7 @@
 	if j.tasks[a.n] == a {
 		delete(j.tasks, a.n)
 		if len(j.tasks) == 0 {
-			j.gang = gangAttempt{}
+			j.gang, j.whole = gangAttempt{}, time.Now()
 		}
 		if a.outcome == retry && !j.over() {
 			j.giveBack(a.n)
--- a/internal/placement/gang.go
+++ b/internal/placement/gang.go
@@ -64,9 +64,12 @@
 	if in.clearFor(j, zones, out) {
 		return
 	}
-	if t.overdue {
+	if t.overdue || j.Keep {
 		in.keepFor(j, zones)
-		return
+		if t.overdue {
+			return
+		}
+		j.held = true
 	}
 	out.Unmet = append(out.Unmet, Demand{j, j.Waiting})
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -49,6 +49,9 @@
 	// production. (Else what goes before it takes that room, task by task, and is
 	// stopped for it again and again.)
 	Clearing bool
+	// Keep is set for a gang that has not waited for long: it goes ahead of its equals,
+	// and what falls free where most of it fits is kept until there is enough.
+	Keep bool
 
 	held bool // room is being made for it, or kept
 }
@@ -140,6 +143,7 @@
 		first(a.overdue, b.overdue),
 		first(a.Guaranteed, b.Guaranteed),
 		cmp.Compare(b.Spec.Rank(), a.Spec.Rank()),
+		first(a.Keep, b.Keep),
 		cmp.Compare(stage(a.Job), stage(b.Job)),
 		cmp.Compare(a.DueS*a.LeftS, b.DueS*b.LeftS),
 		cmp.Compare(a.Order, b.Order),
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -151,6 +151,12 @@
 			in.Machines = []*Machine{m, n}
 			in.Jobs = []*Job{job("j-1", 1, 4, prod)}
 		}, "end j-9/0@a2"},
+		{"a gang that has just come, too, and machines are rented for it", func(in *picture) {
+			in.Machines = []*Machine{box("a1", 2), box("a2", 0)}
+			g := job("j-1", 2, 2, gang)
+			g.Keep = true
+			in.Jobs = []*Job{job("j-2", 1, 2, nil), g}
+		}, "unmet j-1 2 unmet j-2 1"},
 		{"a gang that has waited for too long keeps room from others", func(in *picture) {
 			in.Machines = []*Machine{box("a1", 2), box("a2", 0)}
 			g := job("j-1", 2, 2, gang)
