--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -263,6 +263,13 @@
 	}
 	slog.Info("machine judged dead", "machine", m.id, "zone", m.zone, "term", l.token, "reason", string(reason), "tasks", len(m.assigned))
 	m.dead = true
+	for _, a := range m.assigned {
+		// A gang that runs may well run on. One that gathers would hold its room until
+		// the workers give up waiting.
+		if a.outcome == open && a.job.isGang() && a.seen != workers.Running {
+			l.stopGang(a.job, 0)
+		}
+	}
 	l.book.deaths = append(l.book.deaths, m.id)
 	l.shelve(m, now)
 	l.replan = true
