--- a/internal/control/scale_test.go
+++ b/internal/control/scale_test.go
@@ -110,6 +110,22 @@
 	}
 }
 
+// BenchmarkPlanGang looks for room for a gang of 16 in three zones in vain, and for
+// work that could make room for it.
+func BenchmarkPlanGang(b *testing.B) {
+	l, _, now := fleetOf(b, largest)
+	spec := &jobs.Spec{ID: "j-8", Class: "joint", Team: "red", Shape: jobs.Gang, Priority: jobs.Urgent, Tasks: 16, CPUs: 5, RAMGB: 8, EstimateS: 30, Image: "img", OneZone: true}
+	j := newJob(spec.ID, spec, 1, 0, now)
+	l.jobs[j.id] = j
+	l.queue(j)
+	for b.Loop() {
+		l.place(now)
+		if len(j.tasks) > 0 {
+			b.Fatal("placed where nothing fits")
+		}
+	}
+}
+
 // BenchmarkTick looks after all machines while nothing happens, a fleet that is
 // planned for anew among it.
 func BenchmarkTick(b *testing.B) {
