Room is kept for a gang only where all of it will ever fit

Cause: kept for a gang that its zone can never hold, as services stand there or machines are still to be rented, room would stand idle for as long as the gang waits, and everybody in that zone with it; after two minutes for ever (found by reading).

--- a/internal/placement/gang.go
+++ b/internal/placement/gang.go
@@ -142,17 +142,53 @@
 	return true
 }
 
-// keepFor keeps room from others where most of a gang fits.
+// look finds out what is on a machine, once in a plan.
+func (in *Input) look(m *Machine) {
+	if in.Fill != nil && !in.filled[m] {
+		in.filled[m] = true
+		in.Fill(m)
+	}
+}
+
+// willFit tells whether a gang fits into a zone once what ends by itself has ended.
+func (in *Input) willFit(j *Job, zone string) bool {
+	in.only = zone
+	need, n := Of(j.Spec), 0
+	for _, s := range in.Shelves.kinds {
+		if !in.allows(j, s) {
+			continue
+		}
+		s.all(func(m *Machine) {
+			if n >= j.Waiting || !m.open(j) {
+				return
+			}
+			in.look(m)
+			room := m.Free.Plus(m.Freeing, 1)
+			for _, p := range m.Tasks {
+				if p.Job.Spec.Ends() {
+					room = room.Plus(Of(p.Job.Spec), 1)
+				}
+			}
+			for ; n < j.Waiting && room.Fits(need); n++ {
+				room = room.Plus(need, -1)
+			}
+		})
+	}
+	return n >= j.Waiting
+}
+
+// keepFor keeps room from others where most of a gang fits, if all of it ever will
+// there: else it would wait for machines that are not rented yet, and others with it.
 func (in *Input) keepFor(j *Job, zones []string) {
-	best, most := 0, -1
+	best, most := -1, -1
 	for i, zone := range zones {
 		on, _ := in.fits(j, zone)
 		in.rollBack()
-		if len(on) > most {
+		if len(on) > most && in.willFit(j, zone) {
 			best, most = i, len(on)
 		}
 	}
-	if len(zones) == 0 {
+	if best < 0 {
 		return
 	}
 	on, _ := in.fits(j, zones[best])
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -494,10 +494,7 @@
 			if will != nil && !will(m) || in.cached && !m.Images[j.Spec.Image] {
 				return
 			}
-			if in.Fill != nil && !in.filled[m] {
-				in.filled[m] = true
-				in.Fill(m)
-			}
+			in.look(m)
 			if w, ok := in.victims(j, m, need); ok {
 				ways = append(ways, w)
 			}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -152,17 +152,26 @@
 			in.Jobs = []*Job{job("j-1", 1, 4, prod)}
 		}, "end j-9/0@a2"},
 		{"a gang that has just come, too, and machines are rented for it", func(in *picture) {
-			in.Machines = []*Machine{box("a1", 2), box("a2", 0)}
+			in.Machines = []*Machine{box("a1", 4), box("a2", 0)}
+			running(in.Machines[0], job("j-9", 1, 2, nil), 0, 5)
 			g := job("j-1", 2, 2, gang)
 			g.Keep = true
 			in.Jobs = []*Job{job("j-2", 1, 2, nil), g}
 		}, "unmet j-1 2 unmet j-2 1"},
 		{"a gang that has waited for too long keeps room from others", func(in *picture) {
-			in.Machines = []*Machine{box("a1", 2), box("a2", 0)}
+			in.Machines = []*Machine{box("a1", 4), box("a2", 0)}
+			running(in.Machines[0], job("j-9", 1, 2, nil), 0, 5)
 			g := job("j-1", 2, 2, gang)
 			g.Overdue = 2
 			in.Jobs = []*Job{g, job("j-2", 1, 2, nil)}
 		}, "unmet j-1 2 unmet j-2 1"},
+		{"but not for what its zone will never hold", func(in *picture) {
+			in.Machines = []*Machine{box("a1", 4), box("a2", 0)}
+			running(in.Machines[0], job("j-9", 1, 2, prod), 0, 5)
+			g := job("j-1", 2, 2, gang)
+			g.Overdue = 2
+			in.Jobs = []*Job{g, job("j-2", 1, 2, nil)}
+		}, "j-2/0>a1 unmet j-1 2"},
 		{"spread: half in one zone, rounded up", func(in *picture) {
 			in.Machines = []*Machine{box("a1", 4), box("b1", 4)}
 			in.Jobs = []*Job{job("j-1", 5, 1, func(s *jobs.Spec) { s.Spread = true })}
