--- a/internal/node/gang_test.go
+++ b/internal/node/gang_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"ospreyslip/internal/jobs"
+	"ospreyslip/internal/settings"
 	"ospreyslip/internal/standin"
 )
 
@@ -219,3 +220,34 @@
 		c.withinDone(4*time.Minute, "j-1")
 	})
 }
+
+// The beginnings of a large gang take many transactions. A leader that ends after
+// some of them leaves a part, which is taken back: the gang starts whole or not at all.
+func TestLargeGangHalfWritten(t *testing.T) {
+	kb, writes, ops := 2.0, 35.0, 4
+	tweak := func(s *settings.Settings) {
+		s.Deployment.State.Next = &settings.NextState{ValueKB: &kb, WriteRPS: &writes, TxnOps: &ops}
+	}
+	for _, after := range []time.Duration{150, 400, 700, 1100, 1600, 2500} {
+		after *= time.Millisecond
+		t.Run(after.String(), func(t *testing.T) {
+			inCluster(t, tweak, func(c *cluster) {
+				c.world.State.Limit(standin.Limits{ValueBytes: 2 << 10, TxnOps: 4, Writes: 70})
+				large := gang("j-1", 300, 12)
+				large.CPUs, large.OneZone = 0.1, false
+				c.submit("perch-0", batch("j-9", 36, 40)) // has machines up
+				c.run(30 * time.Second)
+				c.submit("perch-0", large)
+				c.run(after)
+				old := c.leader()
+				c.crash(old)
+				c.run(time.Second)
+				c.start(old)
+				c.withinDone(3*time.Minute, "j-1")
+				if n := c.world.State.Rejected(); n > 0 {
+					t.Errorf("%d transactions were too large", n)
+				}
+			})
+		})
+	}
+}
