--- a/internal/control/book.go
+++ b/internal/control/book.go
@@ -331,8 +331,10 @@
 			if size := chunkSize(ref, bits); pageBytes+size > k.most {
 				// No page holds it. Its tasks' ends wait for that of the job: their
 				// workers keep saying that they are done.
-				slog.Error("completions larger than a page", "job", ref.j.id, "bytes", size, "most", k.most)
-				ch.dirty = false
+				if !ch.large {
+					slog.Error("completions larger than a page", "job", ref.j.id, "bytes", size, "most", k.most)
+				}
+				ch.large, ch.dirty = true, false
 				k.chunks = k.chunks[1:]
 				continue
 			} else if !d.fits(size) {
--- a/internal/control/gangs.go
+++ b/internal/control/gangs.go
@@ -38,7 +38,7 @@
 // hold room until they gave up.
 func (a *assignment) mayRun() bool { return !a.job.isGang() || a.job.verdict() == gang.Go }
 
-// written notes that the beginning of a task of a gang is durable. The last one
+// gangWritten notes that the beginning of a task of a gang is durable. The last one
 // lets all of them go.
 func (l *Leader) gangWritten(j *job) {
 	if j.gang.written++; j.verdict() == gang.Go {
@@ -48,7 +48,8 @@
 	}
 }
 
-// parted takes in that a task of a gang is off its machine and not done.
+// parted takes in that a task of a gang is off its machine. If it is not done, the
+// others have to stop.
 func (l *Leader) parted(j *job) {
 	if j.gang.here--; !j.over() && j.verdict() == gang.End {
 		slog.Debug("gang not whole", "job", j.id, "attempt", j.gang.number, "term", l.token, "left", j.gang.here)
--- a/internal/control/model.go
+++ b/internal/control/model.go
@@ -47,6 +47,7 @@
 	dirty  bool
 	saved  bool // every bit set so far is durable
 	moving bool // to another page, outcome open
+	large  bool // no page holds it
 }
 
 type chunkRef struct {
