A plan when a machine takes work again, and no more pages in a transaction than there is news

Ruled out by the leader's status and log: writes, catalog, limits, dark zones. And each transaction wrote as many pages as it may, as the first page drafted made the book wait for more: 12, or four under the limits to come, where one holds the news.

--- a/internal/control/book.go
+++ b/internal/control/book.go
@@ -103,11 +103,14 @@
 	}
 }
 
-// waiting tells whether anything is to be written.
-func (k *book) waiting() bool {
-	return k.again > 0 || len(k.begins)+len(k.ends)+len(k.chunks)+len(k.deaths) > 0
+// news tells whether there is anything new to be written.
+func (k *book) news() bool {
+	return len(k.begins)+len(k.ends)+len(k.chunks)+len(k.deaths) > 0
 }
 
+// waiting tells whether anything is to be written.
+func (k *book) waiting() bool { return k.again > 0 || k.news() }
+
 // blank makes a page that was never written. Names leave no gaps, as a version
 // before this one names the next page by the length of the ring.
 func (k *book) blank() *page {
--- a/internal/control/picture_test.go
+++ b/internal/control/picture_test.go
@@ -369,6 +369,31 @@
 	})
 }
 
+// A machine of an earlier leader takes work from its first report on. What waits has
+// to be planned for then: it found no room before, and nothing else may happen for
+// long. (Found with real processes: a job waited until the next one came.)
+func TestPlansWhenAMachineReports(t *testing.T) {
+	l, _, _, now := bench()
+	l.Catalog = func() []jobs.MachineType {
+		return []jobs.MachineType{{Name: "c4", CPUs: 4, RAMGB: 8, FetchGBPS: 1, BootS: 10}}
+	}
+	l.restoreMachine(begunRecord{Machine: "m-9", Addr: "10.1.0.9:9000", Type: "c4", Zone: "a", Session: 1}, now)
+	l.place(now)
+	if l.replan {
+		t.Fatal("a plan is wanted before anything has happened")
+	}
+	r := report(1, 7)
+	r.Machine = "m-9"
+	if l.report(r, now); !l.replan {
+		t.Error("no plan when it takes work")
+	}
+	l.place(now)
+	r.Seq++
+	if l.report(r, now); l.replan {
+		t.Error("a plan after a report without news")
+	}
+}
+
 // A machine that will be taken keeps what may still complete in time. What can not
 // begins anew elsewhere at once: it would be found lost only after the notice.
 func TestNotice(t *testing.T) {
--- a/internal/control/tasks.go
+++ b/internal/control/tasks.go
@@ -44,7 +44,9 @@
 		o.Total, o.FetchGBPS = placement.Amount{CPUs: t.CPUs, GPUs: t.GPUs, RAMGB: t.RAMGB}, t.FetchGBPS
 		o.Free = o.Total.Plus(m.room, -1)
 	}
-	l.shelves.Put(m.offer)
+	if l.shelves.Put(m.offer) {
+		l.replan = true
+	}
 }
 
 // cacheGB is how much a machine keeps of images; 0 if that is not known.
--- a/internal/control/write.go
+++ b/internal/control/write.go
@@ -66,7 +66,7 @@
 	}
 	// Then ends of jobs, in half of the room if there is anything else.
 	limit := len(b.writes) + left
-	if l.book.again == 0 && l.book.waiting() {
+	if l.book.again == 0 && l.book.news() {
 		limit = len(b.writes) + max(1, left/2)
 	}
 	for len(l.finals) > 0 && len(b.writes) < limit {
@@ -77,7 +77,7 @@
 	pages := 0
 	for ; pages < len(l.book.pages) && len(b.writes) < l.Derived.TxnOps; pages++ {
 		must := pages < l.book.again
-		if !must && (!l.book.waiting() || b.bytes+l.book.most > txnBytes) {
+		if !must && (!l.book.news() || b.bytes+l.book.most > txnBytes) {
 			break
 		}
 		l.addPage(b, pages, pages+1 >= l.book.again)
--- a/internal/placement/shelves.go
+++ b/internal/placement/shelves.go
@@ -55,10 +55,10 @@
 	) < 0
 }
 
-// Put adds a machine, or does nothing if it is there.
-func (s *Shelves) Put(m *Machine) {
+// Put adds a machine and returns true, or does nothing if it is there.
+func (s *Shelves) Put(m *Machine) bool {
 	if m.on != nil {
-		return
+		return false
 	}
 	for _, k := range s.kinds {
 		if k.typ == m.Type && k.zone == m.Zone && k.spot == m.Spot {
@@ -70,6 +70,7 @@
 		s.kinds = append(s.kinds, m.on)
 	}
 	m.on.machines.ReplaceOrInsert(m)
+	return true
 }
 
 // Remove takes a machine off its shelf.
