--- a/internal/control/picture_test.go
+++ b/internal/control/picture_test.go
@@ -16,6 +16,7 @@
 	"ospreyslip/internal/liveness"
 	"ospreyslip/internal/placement"
 	"ospreyslip/internal/settings"
+	"ospreyslip/internal/state"
 	"ospreyslip/internal/term"
 	"ospreyslip/internal/workers"
 )
@@ -394,6 +395,25 @@
 	}
 }
 
+// A transaction that is rejected as it is says nothing of an outage: planning goes on.
+func TestRejectedIsNoOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, _, _, now := bench()
+		quiet(t)
+		l.events = make(chan func(time.Time), 1)
+		l.written(t.Context(), &batch{}, 0, nil, state.ErrUnknown)
+		if l.mayBegin(now) {
+			t.Error("plans while nothing can be made durable")
+		}
+		l.book.open = false
+		l.written(t.Context(), &batch{}, 0, nil, fmt.Errorf("%w: %w", state.ErrRefused, state.ErrRejected))
+		if !l.mayBegin(now) {
+			t.Error("plans no more")
+		}
+		synctest.Wait()
+	})
+}
+
 // A machine that will be taken keeps what may still complete in time. What can not
 // begins anew elsewhere at once: it would be found lost only after the notice.
 func TestNotice(t *testing.T) {
--- a/internal/control/write.go
+++ b/internal/control/write.go
@@ -125,7 +125,9 @@
 
 // written takes in the outcome of a transaction.
 func (l *Leader) written(ctx context.Context, b *batch, rev uint64, failed []string, err error) {
-	l.stuck = err != nil
+	// What was too large is no outage: were it taken for one, and nothing were left to
+	// be written, nothing would be planned any more.
+	l.stuck = err != nil && !errors.Is(err, state.ErrRejected)
 	if err == nil && len(failed) == 0 {
 		l.writing = false
 		for _, f := range b.done {
