--- a/internal/control/book_test.go
+++ b/internal/control/book_test.go
@@ -170,6 +170,15 @@
 	}
 }
 
+// A transaction writes no more pages than its news need: with each page that it
+// drafted, the book once seemed to wait for one more.
+func TestPagesByNeed(t *testing.T) {
+	l, j, _ := withGang()
+	if b := l.compose(); len(b.writes) != 1 {
+		t.Errorf("%d pages for %d beginnings", len(b.writes), j.spec.Tasks)
+	}
+}
+
 // stir lets some tasks begin and end.
 func (l *Leader) stir(rnd *rand.Rand) {
 	now := time.Now()
