--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,13 +28,13 @@
 	Cloud    *fleet.Cloud
 	Workers  *workers.Client
 	Valid    func() bool // holds the term at this moment
-	// Proven is when no node could reach the state service: until then no user
-	// can have been told of a cancellation that this node has not seen.
-	Proven  func() time.Time
-	Raised  func(token uint64) // told of a token raised within the term
-	Publish func(map[string]jobs.Counts)
-	Catalog func() []jobs.MachineType
-	Counts  *Counts
+	// Promised is when the promises were asked for that keep the term in an outage;
+	// they came from all other nodes.
+	Promised func() time.Time
+	Raised   func(token uint64) // told of a token raised within the term
+	Publish  func(map[string]jobs.Counts)
+	Catalog  func() []jobs.MachineType
+	Counts   *Counts
 }
 
 // Counts hands the leader's display counts to the users' side.
@@ -122,6 +123,23 @@
 	}
 }
 
+// Seen returns up to which revision the picture of the jobs on duty has all changes;
+// 0 if there is none.
+func (g *Gate) Seen() uint64 {
+	if l := g.on.Load(); l != nil {
+		return l.seen.Load()
+	}
+	return 0
+}
+
+// Cancelled hands over all cancellations that users may have been told of by a
+// moment and that are newer than what was seen.
+func (g *Gate) Cancelled(ctx context.Context, all []jobs.Cancellation, by time.Time) {
+	if l := g.on.Load(); l != nil {
+		l.post(ctx, func(time.Time) { l.cancelledUnseen(all, by) })
+	}
+}
+
 type reportIn struct {
 	report *workers.Report
 	reply  chan *workers.Answer
@@ -142,7 +160,9 @@
 	watch    *liveness.Watch
 	used     map[string]placement.Amount
 	attempts uint64
-	fresh    time.Time // the picture of the jobs is no older
+	fresh    time.Time         // all that users were told by then is in the picture of the jobs
+	seen     atomic.Uint64     // as are all changes up to this revision
+	unseen   map[string]uint64 // jobs known to be cancelled at a later revision
 
 	writing   bool
 	stuck     bool // the last transaction was not executed, as far as is known
@@ -200,6 +220,7 @@
 		reports: make(chan reportIn, 16), events: make(chan func(time.Time), 64), quit: make(chan struct{}),
 		jobs: map[string]*job{}, machines: map[string]*machine{}, used: map[string]placement.Amount{},
 		queued: map[*job]bool{}, renting: map[fleet.Kind]int{}, refused: map[fleet.Kind]refusal{}, gone: map[string]time.Time{}, runs: map[string]*runs{},
+		unseen:   map[string]uint64{},
 		attempts: t.Token << 24,
 	}
 	l.watch = liveness.New(liveness.Config{
@@ -281,7 +302,7 @@
 // mayBegin tells whether new work can be made durable. While it cannot, a plan
 // would stop tasks to make room that nothing can be placed in.
 func (l *Leader) mayBegin(now time.Time) bool {
-	return !l.stuck && now.Sub(l.Proven()) > l.Derived.TermLease
+	return !l.stuck && now.Sub(l.Promised()) > l.Derived.TermLease
 }
 
 // load reads all records. The term is ours already, so that no earlier leader
@@ -328,6 +349,7 @@
 	l.replan, l.uncovered = true, true
 	l.raisedAt = now
 	l.listSyncAt = now.Add(2 * l.Derived.ListLag)
+	l.seen.Store(after)
 	slog.Info("records read", "term", l.token, "jobs", len(l.jobs), "ended", len(ended), "machines", len(l.machines))
 	return after, nil
 }
@@ -470,6 +492,7 @@
 			continue
 		}
 		after = max(after, rev)
+		seen := after
 		proven := after >= least && !asked.IsZero()
 		sent := asked
 		l.post(ctx, func(now time.Time) {
@@ -479,10 +502,36 @@
 			for _, c := range changes {
 				l.jobChanged(c, now)
 			}
+			l.seen.Store(seen)
+			maps.DeleteFunc(l.unseen, func(_ string, at uint64) bool { return at <= seen })
 		})
 	}
 }
 
+// cancelledUnseen takes in what users were told by a moment, while no change can be
+// had from the state service. What it names ends at once, and is not begun when the
+// changes come that say that it was accepted.
+func (l *Leader) cancelledUnseen(all []jobs.Cancellation, by time.Time) {
+	for _, c := range all {
+		if c.Revision <= l.seen.Load() {
+			continue
+		}
+		l.unseen[c.Job] = c.Revision
+		if j := l.jobs[c.Job]; j != nil && !j.cancelled {
+			l.cancelled(j, c.Revision)
+		}
+	}
+	if by.After(l.fresh) {
+		l.fresh = by
+	}
+}
+
+func (l *Leader) cancelled(j *job, revision uint64) {
+	slog.Info("job cancelled", "job", j.id, "term", l.token)
+	j.cancelled, j.mark, j.heard = true, revision, time.Now()
+	l.cancelTasks(j)
+}
+
 func (l *Leader) jobChanged(c state.Change, now time.Time) {
 	if c.Set == "" {
 		return
@@ -495,6 +544,7 @@
 	id := jobs.IDOf(c.Set)
 	j := l.jobs[id]
 	switch {
+	case j == nil && l.unseen[id] > c.Mark: // cancelled since
 	case j == nil && !rec.Over() && rec.Spec != nil:
 		j = newJob(id, rec.Spec, c.Mark, rec.AtMs, now)
 		l.jobs[id] = j
@@ -503,9 +553,7 @@
 		l.arrived(j, 0, now)
 		l.replan, l.uncovered = true, true
 	case j != nil && rec.Stance == jobs.Cancelled && !j.cancelled:
-		slog.Info("job cancelled", "job", id, "term", l.token)
-		j.cancelled, j.mark = true, c.Mark
-		l.cancelTasks(j)
+		l.cancelled(j, c.Mark)
 	}
 }
 
--- a/internal/control/model.go
+++ b/internal/control/model.go
@@ -20,6 +20,7 @@
 	order     uint64 // revision of its acceptance
 	atMs      int64
 	cancelled bool
+	heard     time.Time // when this leader heard that it is cancelled
 	final     bool // done is written, or being written
 	done      []uint64
 	doneCount int
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -235,12 +235,7 @@
 }
 
 // pictureAge is how old the picture of users' wishes may be.
-func (l *Leader) pictureAge(now time.Time) time.Duration {
-	if p := l.Proven(); p.After(l.fresh) {
-		return now.Sub(p)
-	}
-	return now.Sub(l.fresh)
-}
+func (l *Leader) pictureAge(now time.Time) time.Duration { return now.Sub(l.fresh) }
 
 func (l *Leader) inspected(m *machine, r *workers.Report, err error, now time.Time) {
 	l.callsOut--
--- a/internal/control/picture_test.go
+++ b/internal/control/picture_test.go
@@ -32,7 +32,7 @@
 	l := &Leader{
 		Deps: Deps{
 			Settings: set, Derived: set.Derive(), Counts: NewCounts(), Valid: func() bool { return true },
-			Proven: func() time.Time { return time.Time{} }, Catalog: func() []jobs.MachineType { return nil },
+			Promised: func() time.Time { return time.Time{} }, Catalog: func() []jobs.MachineType { return nil },
 		},
 		term: term.Term{Token: 5}, token: 5, attempts: 100, fresh: now,
 		jobs: map[string]*job{}, machines: map[string]*machine{}, used: map[string]placement.Amount{},
--- a/internal/control/tasks.go
+++ b/internal/control/tasks.go
@@ -354,6 +354,9 @@
 			// jobs cancelled meanwhile as well.
 			return nil
 		}
+		if l.mayStartCancelled(m, now) {
+			return nil
+		}
 		if r.Session < m.session || c == m.lastReport || c.Before(m.lastReport) {
 			return nil // from before a lease that has run out, or a late copy
 		}
@@ -390,6 +393,22 @@
 	return &workers.Answer{Token: l.token, Calls: calls}
 }
 
+// mayStartCancelled tells whether an order on its way may still begin a task whose job
+// is cancelled. A higher token ends that, but in an outage of the state service there
+// is none to be had. Then the worker's lease has to end in time, and with it the
+// session that the order is for.
+func (l *Leader) mayStartCancelled(m *machine, now time.Time) bool {
+	if m.doubtSince.IsZero() {
+		return false
+	}
+	for _, a := range m.assigned {
+		if a.outcome == open && a.doubt != 0 && a.job.cancelled && now.Sub(a.job.heard) > l.Derived.WatchStale/2 {
+			return true
+		}
+	}
+	return false
+}
+
 // mostUnheeded is how many answers in a row may go unheeded.
 const mostUnheeded = 2
 
--- a/internal/control/write.go
+++ b/internal/control/write.go
@@ -217,8 +217,9 @@
 	case jobs.Done:
 		l.finalDone(j)
 	case jobs.Cancelled:
-		j.cancelled, j.mark = true, p.Mark
-		l.cancelTasks(j)
+		if !j.cancelled {
+			l.cancelled(j, p.Mark)
+		}
 	}
 }
 
--- a/internal/jobs/api.go
+++ b/internal/jobs/api.go
@@ -102,6 +102,7 @@
 	if err := json.Unmarshal(p.Value, &rec); err != nil {
 		return nil, 0, err
 	}
+	a.Mirror.set(p.Key, p.Value, p.Mark) // before anybody is told
 	return &rec, p.Mark, nil
 }
 
@@ -240,11 +241,13 @@
 			reply(w, http.StatusOK, view{ID: id, Stance: rec.Stance})
 			return true, nil
 		}
-		_, failed, err := a.Store.Commit(ctx, []state.Guard{{Key: RecordKey(id), Mark: mark}},
-			[]state.Write{{Set: RecordKey(id), Value: rec.Ended(Cancelled, a.Derived.ValueBytes)}})
+		ended := rec.Ended(Cancelled, a.Derived.ValueBytes)
+		rev, failed, err := a.Store.Commit(ctx, []state.Guard{{Key: RecordKey(id), Mark: mark}},
+			[]state.Write{{Set: RecordKey(id), Value: ended}})
 		if err != nil || len(failed) > 0 {
 			return false, err
 		}
+		a.Mirror.set(RecordKey(id), ended, rev)
 		slog.Debug("job cancelled", "job", id)
 		reply(w, http.StatusOK, view{ID: id, Stance: Cancelled})
 		return true, nil
--- a/internal/jobs/mirror.go
+++ b/internal/jobs/mirror.go
@@ -1,10 +1,12 @@
 package jobs
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,8 +24,12 @@
 	idle  time.Duration // the mirror is kept up to date without polls, too
 	asks  chan chan error
 
-	mu   sync.RWMutex
-	jobs map[string]brief
+	mu      sync.RWMutex
+	jobs    map[string]brief
+	listed  bool           // all records have been read since this process began
+	recent  []Cancellation // in the order in which this node learnt of them
+	keep    int            // so many of them, at least
+	dropped uint64         // up to this revision some may be missing
 	// Owned by Run.
 	whole    bool
 	revision uint64
@@ -36,9 +42,25 @@
 	mark   uint64 // its revision
 }
 
-// NewMirror makes an empty mirror; Run fills it.
-func NewMirror(store *state.Client, gap, idle time.Duration) *Mirror {
-	return &Mirror{store: store, gap: gap, idle: idle, asks: make(chan chan error), jobs: map[string]brief{}}
+// NewMirror makes an empty mirror; Run fills it. It remembers the last keep
+// cancellations in order.
+func NewMirror(store *state.Client, gap, idle time.Duration, keep int) *Mirror {
+	return &Mirror{store: store, gap: gap, idle: idle, keep: keep, asks: make(chan chan error), jobs: map[string]brief{}}
+}
+
+// Cancellations returns all cancellations after a revision that this node may have
+// told a user of; complete is false if it does not know them all. What it learns of
+// is taken in before anybody is told. What an earlier process of this node told was
+// in the records when this one first read all of them.
+func (m *Mirror) Cancellations(after uint64) (later []Cancellation, complete bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	for _, c := range m.recent {
+		if c.Revision > after {
+			later = append(later, c)
+		}
+	}
+	return later, m.listed && after >= m.dropped
 }
 
 // Get returns a job as of a moment after the call. Found is false for one that
@@ -68,6 +90,7 @@
 // under way waits for the next: that one may have been carried out already.
 func (m *Mirror) Run(ctx context.Context) {
 	var lastRead time.Time
+	idle := m.gap // others may soon need to know what this node has told users
 	for {
 		var waiting []chan error
 		select {
@@ -75,8 +98,9 @@
 			return
 		case c := <-m.asks:
 			waiting = append(waiting, c)
-		case <-time.After(m.idle):
+		case <-time.After(idle):
 		}
+		idle = m.idle
 		pause := time.After(m.gap - time.Since(lastRead))
 		for pausing := true; pausing; {
 			select {
@@ -151,6 +175,9 @@
 		m.set(p.Key, p.Value, p.Mark)
 	}
 	m.whole, m.revision = true, revision
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.listed = true
 	return nil
 }
 
@@ -173,7 +200,24 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if id := IDOf(key); m.jobs[id].mark <= mark {
-		m.jobs[id] = b
+	id := IDOf(key)
+	old := m.jobs[id]
+	if old.mark > mark {
+		return
+	}
+	m.jobs[id] = b
+	if b.stance == Cancelled && old.mark < mark {
+		m.remember(Cancellation{id, mark})
+	}
+}
+
+func (m *Mirror) remember(c Cancellation) {
+	m.recent = append(m.recent, c)
+	if len(m.recent) <= 2*m.keep {
+		return
 	}
+	slices.SortFunc(m.recent, func(a, b Cancellation) int { return cmp.Compare(a.Revision, b.Revision) })
+	cut := len(m.recent) - m.keep
+	m.dropped = max(m.dropped, m.recent[cut-1].Revision)
+	m.recent = append(m.recent[:0], m.recent[cut:]...)
 }
--- a/internal/jobs/mirror_order_test.go
+++ b/internal/jobs/mirror_order_test.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -8,7 +9,7 @@
 // After the mirror has read all records, the watch brings changes once more that
 // the list was ahead of. A poll that is answered meanwhile must not see them.
 func TestMirrorNeverTurnsBack(t *testing.T) {
-	m := NewMirror(nil, time.Second, time.Second)
+	m := NewMirror(nil, time.Second, time.Second, 8)
 	m.set("job/j-1", []byte(`{"stance":"done","tasks":3}`), 105)   // from the list
 	m.set("job/j-1", []byte(`{"stance":"queued","tasks":3}`), 102) // from the watch, on the way to 105
 	if got := m.jobs["j-1"].stance; got != Done {
@@ -20,3 +21,31 @@
 		t.Errorf("cancelled is shown as %s", got)
 	}
 }
+
+// Who no longer remembers all cancellations since a revision says so.
+func TestCancellationsRemembered(t *testing.T) {
+	m := NewMirror(nil, time.Second, time.Second, 4)
+	cancel := func(n uint64) { m.set(RecordKey(fmt.Sprintf("j-%d", n)), []byte(`{"stance":"aborted"}`), n) }
+	if _, complete := m.Cancellations(0); complete {
+		t.Error("complete before the records were read")
+	}
+	m.listed = true
+	for _, n := range []uint64{7, 3, 9, 5, 1, 9} { // a list is in the order of names, and what it tells comes twice
+		cancel(n)
+	}
+	if got, complete := m.Cancellations(4); !complete || len(got) != 3 {
+		t.Errorf("after 4: %v, complete %v", got, complete)
+	}
+	for n := uint64(11); n < 40; n += 2 {
+		cancel(n)
+		if len(m.recent) > 8 {
+			t.Fatalf("%d are kept", len(m.recent))
+		}
+	}
+	if _, complete := m.Cancellations(11); complete {
+		t.Error("complete back to 11, which is more than is kept")
+	}
+	if got, complete := m.Cancellations(33); !complete || len(got) != 3 {
+		t.Errorf("after 33: %v, complete %v", got, complete)
+	}
+}
--- a/internal/jobs/record.go
+++ b/internal/jobs/record.go
@@ -52,5 +52,11 @@
 // IDOf returns the job of a record's key.
 func IDOf(key string) string { return strings.TrimPrefix(key, RecordPrefix) }
 
+// Cancellation is a job that was cancelled, and the revision at which it was.
+type Cancellation struct {
+	Job      string
+	Revision uint64
+}
+
 // Counts are a job's tasks for display.
 type Counts struct{ Done, Running int }
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -1,12 +1,10 @@
 package node
 
 import (
-	"bytes"
 	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -40,6 +38,7 @@
 	nodes  map[string]*life
 	names  []string
 	tweak  func(*settings.Settings)
+	adapt  func(*Node) // of nodes that are started from now on
 	duties sync.WaitGroup
 }
 
@@ -78,10 +77,12 @@
 		}
 		c.run(5 * time.Second)
 		scenario(c)
-		c.world.CheckCancelled()
 		for _, b := range c.world.Broken() {
 			t.Errorf("rule broken: %s", b)
 		}
+		if len(c.world.Broken()) > 0 {
+			t.Log("what led to the first:\n" + c.world.Trace())
+		}
 		cancel()
 		c.duties.Wait()
 		c.world.Net.Faults(nil)
@@ -121,9 +122,13 @@
 		HTTP: c.world.Net.From(name),
 		Dial: func(ctx context.Context, addr string) (net.Conn, error) { return c.world.Net.Dial(ctx, name, addr) },
 	})
+	if c.adapt != nil {
+		c.adapt(n)
+	}
 	l := &life{cancel: cancel, done: make(chan struct{})}
 	c.nodes[name] = l
 	c.world.Net.Attach(name, addrOf(name), n.Handler())
+	c.world.Note("%s begins", name)
 	c.duties.Go(func() { n.Work(ctx, c.world.Net.Listen(name, clusterOf(name))); close(l.done) })
 }
 
@@ -133,18 +138,27 @@
 	for _, n := range names {
 		dead[n] = true
 	}
-	c.world.Net.Faults(func(from, to, _ string) standin.Fault {
+	defer c.world.Net.Trouble(func(from, to, _ string) standin.Fault {
 		if dead[from] || dead[to] {
 			return standin.Refuse
 		}
 		return standin.Deliver
-	})
+	})()
 	for _, n := range names {
+		c.world.Note("%s ends", n)
 		c.nodes[n].cancel()
 		<-c.nodes[n].done
 		c.world.Net.Attach(n, addrOf(n), nil)
 	}
-	c.world.Net.Faults(nil)
+}
+
+func (l *life) ended() bool {
+	select {
+	case <-l.done:
+		return true
+	default:
+		return false
+	}
 }
 
 func (c *cluster) run(d time.Duration) {
@@ -159,21 +173,7 @@
 }
 
 func (c *cluster) ask(method, node, path string, body any) (int, map[string]any) {
-	raw, _ := json.Marshal(body)
-	req, err := http.NewRequest(method, "http://"+addrOf(node)+path, bytes.NewReader(raw))
-	if err != nil {
-		c.t.Fatal(err)
-	}
-	client := &http.Client{Transport: c.world.Net.From("user"), Timeout: 5 * time.Second}
-	resp, err := client.Do(req)
-	if err != nil {
-		return 0, nil
-	}
-	defer resp.Body.Close()
-	out, _ := io.ReadAll(resp.Body)
-	var view map[string]any
-	_ = json.Unmarshal(out, &view)
-	return resp.StatusCode, view
+	return c.world.Ask(method, addrOf(node), path, body)
 }
 
 func batch(id string, tasks int, seconds float64) *jobs.Spec {
@@ -214,7 +214,6 @@
 	if status, view := c.ask("POST", node, "/v1/jobs/"+id+"/withdraw", nil); status != http.StatusOK || view["stance"] != "aborted" {
 		c.t.Fatalf("withdraw %s: %d %v", id, status, view)
 	}
-	c.world.ToldCancelled(id)
 }
 
 func (c *cluster) stance(id string) string {
--- /dev/null
+++ b/internal/node/meetings_test.go
@@ -0,0 +1,482 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"ospreyslip/internal/jobs"
+	"ospreyslip/internal/standin"
+)
+
+// users submit jobs, ask about them, cancel some and repeat themselves, one request
+// at a time for each job, until they are told that it is over.
+type users struct {
+	c      *cluster
+	ctx    context.Context
+	cancel context.CancelFunc
+	all    sync.WaitGroup
+	mu     sync.Mutex
+	ends   map[string]chan struct{} // closed when a job's last task has ended
+	over   map[string]string
+	n      int
+}
+
+func newUsers(c *cluster) *users {
+	u := &users{c: c, ends: map[string]chan struct{}{}, over: map[string]string{}}
+	u.ctx, u.cancel = context.WithCancel(c.ctx)
+	c.world.Ended = func(id string) {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		if end := u.ends[id]; end != nil {
+			close(end)
+			u.ends[id] = nil
+		}
+	}
+	return u
+}
+
+// What a user does about a job besides asking.
+type habit struct {
+	cancelAfter time.Duration // 0: never
+	cancelAtEnd bool          // cancels at the moment at which the last task ends
+	repeats     bool          // submits it again and again
+}
+
+func (u *users) job(r *rand.Rand, s *jobs.Spec, h habit) {
+	u.c.world.Upload(s)
+	end := make(chan struct{})
+	u.mu.Lock()
+	u.ends[s.ID] = end
+	u.n++
+	u.mu.Unlock()
+	u.all.Go(func() { u.follow(r, s, h, end) })
+}
+
+func (u *users) follow(r *rand.Rand, s *jobs.Spec, h habit, end chan struct{}) {
+	node := func() string { return u.c.names[r.IntN(len(u.c.names))] }
+	sleep := func(d time.Duration) bool {
+		select {
+		case <-u.ctx.Done():
+			return false
+		case <-time.After(d):
+			return true
+		}
+	}
+	// A request is repeated until it is answered, for a minute.
+	until := func(method, path string, body any) (int, map[string]any) {
+		for start := time.Now(); ; {
+			status, view := u.c.ask(method, node(), path, body)
+			if status == http.StatusOK || status == http.StatusCreated || status == http.StatusUnprocessableEntity || time.Since(start) > time.Minute {
+				return status, view
+			}
+			if !sleep(time.Second + time.Duration(r.IntN(1000))*time.Millisecond) {
+				return 0, nil
+			}
+		}
+	}
+	if status, _ := until("POST", "/v1/jobs", asUser(s)); status != http.StatusCreated && status != http.StatusOK {
+		return
+	}
+	var withdraw <-chan time.Time
+	if h.cancelAfter > 0 {
+		withdraw = time.After(h.cancelAfter)
+	}
+	for {
+		called := false
+		select {
+		case <-u.ctx.Done():
+			return
+		case <-withdraw:
+			withdraw, called = nil, true
+		case <-end:
+			end, called = nil, h.cancelAtEnd
+		case <-time.After(4*time.Second + time.Duration(r.IntN(2000))*time.Millisecond):
+		}
+		status, view := 0, map[string]any(nil)
+		switch {
+		case called:
+			status, view = until("POST", "/v1/jobs/"+s.ID+"/withdraw", nil)
+		case h.repeats && r.IntN(3) == 0:
+			status, view = u.c.ask("POST", node(), "/v1/jobs", asUser(s))
+		default:
+			status, view = u.c.ask("GET", node(), "/v1/jobs/"+s.ID, nil)
+		}
+		if stance, _ := view["stance"].(string); status == http.StatusOK && (stance == jobs.Done || stance == jobs.Cancelled) {
+			u.mu.Lock()
+			u.over[s.ID] = stance
+			u.mu.Unlock()
+			if h.repeats && u.ctx.Err() == nil && sleep(10*time.Second) {
+				u.c.ask("POST", node(), "/v1/jobs", asUser(s)) // at any later time
+			}
+			return
+		}
+	}
+}
+
+// stop lets all users go.
+func (u *users) stop() {
+	u.cancel()
+	u.all.Wait()
+}
+
+func (u *users) isOver(id string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.over[id] != ""
+}
+
+// troubles draws from all that the users' pages name, one on another.
+type troubles struct {
+	c    *cluster
+	r    *rand.Rand
+	seed uint64
+	at   []event
+}
+
+type event struct {
+	at time.Duration
+	do func()
+}
+
+// chance is the same for the same message in every run.
+func (tr *troubles) chance(kind, from, to, path string) float64 {
+	h := fnv.New64a()
+	fmt.Fprint(h, tr.seed, kind, from, to, path, time.Now().UnixNano())
+	return float64(h.Sum64()>>11) / (1 << 53)
+}
+
+func (tr *troubles) on(at, life time.Duration, name string, begin func() (end func())) {
+	tr.at = append(tr.at, event{at, func() {
+		tr.c.world.Note("== %s, for %v", name, life)
+		end := begin()
+		tr.at = append(tr.at, event{at + life, func() {
+			tr.c.world.Note("== %s is over", name)
+			end()
+		}})
+	}})
+}
+
+func (tr *troubles) rule(at, life time.Duration, name string, rule standin.Rule) {
+	tr.on(at, life, name, func() func() { return tr.c.world.Net.Trouble(rule) })
+}
+
+// run plays all events up to a moment.
+func (tr *troubles) run(start time.Time, until time.Duration) {
+	for {
+		slices.SortStableFunc(tr.at, func(a, b event) int { return int(a.at - b.at) })
+		if len(tr.at) == 0 || tr.at[0].at > until {
+			break
+		}
+		e := tr.at[0]
+		tr.at = tr.at[1:]
+		tr.c.run(time.Until(start.Add(e.at)))
+		e.do()
+	}
+	tr.c.run(time.Until(start.Add(until)))
+}
+
+func isMachine(host string) bool { return strings.HasPrefix(host, "m-") }
+
+// draw adds one trouble of any kind.
+func (tr *troubles) draw(at time.Duration) {
+	c, r := tr.c, tr.r
+	life := time.Duration(1+r.IntN(12)) * time.Second
+	if r.IntN(3) == 0 {
+		life *= 6 // beyond any lease, and beyond the time of a cancellation
+	}
+	node := c.names[r.IntN(3)]
+	who := func() string { // the leader, if it is meant
+		return node
+	}
+	if r.IntN(2) == 0 {
+		who = func() string {
+			if l := c.leader(); l != "" {
+				return l
+			}
+			return node
+		}
+	}
+	share := 0.1 + 0.6*r.Float64()
+	fault := []standin.Fault{standin.Silent, standin.Refuse, standin.Late, standin.LoseAnswer}[r.IntN(4)]
+	nodeRule := func(name string, cut func(node, from, to string) bool) {
+		tr.on(at, life, name, func() func() {
+			n := who()
+			c.world.Note("== of %s, fault %d", n, fault)
+			return c.world.Net.Trouble(func(from, to, path string) standin.Fault {
+				if path == standin.Stream && fault == standin.Late {
+					return standin.Deliver
+				}
+				if (from == n || to == n) && cut(n, from, to) {
+					return fault
+				}
+				return standin.Deliver
+			})
+		})
+	}
+	some := func() map[string]bool { // of the machines
+		set := map[string]bool{}
+		for _, m := range c.world.Machines() {
+			if r.Float64() < share {
+				set[m] = true
+			}
+		}
+		return set
+	}
+	messages := func(name, path string, f standin.Fault) {
+		tr.rule(at, life, name, func(from, to, p string) standin.Fault {
+			if p == path && tr.chance(name, from, to, p) < share {
+				return f
+			}
+			return standin.Deliver
+		})
+	}
+	switch r.IntN(20) {
+	case 0:
+		tr.on(at, life, "the state service is out", func() func() {
+			c.world.State.Down(true)
+			return func() { c.world.State.Down(false) }
+		})
+	case 1, 2:
+		tr.on(at, life, "the state service refuses one", func() func() {
+			n := who()
+			c.world.Note("== it is %s", n)
+			c.world.State.RefuseFrom(n, true)
+			return func() { c.world.State.RefuseFrom(n, false) }
+		})
+	case 3:
+		messages("transactions are carried out late", "/commit", standin.Late)
+	case 4:
+		messages("reports come once more, late", "/v1/report", standin.Copied)
+	case 5:
+		messages("reports are held up", "/v1/report", []standin.Fault{standin.Late, standin.Slow}[r.IntN(2)])
+	case 6:
+		messages("orders are held up", "/orders", []standin.Fault{standin.Late, standin.Slow, standin.Copied, standin.LoseAnswer}[r.IntN(4)])
+	case 7:
+		messages("transactions are slow", "/commit", standin.Slow)
+	case 8:
+		tr.on(at, life, "machines are deaf", func() func() {
+			deaf := some()
+			return c.world.Net.Trouble(func(from, to, _ string) standin.Fault {
+				switch {
+				case deaf[from]:
+					return standin.LoseAnswer
+				case deaf[to]:
+					return standin.Silent
+				}
+				return standin.Deliver
+			})
+		})
+	case 9:
+		tr.on(at, life, "machines are mute", func() func() {
+			mute := some()
+			return c.world.Net.Trouble(func(from, _, _ string) standin.Fault {
+				if mute[from] {
+					return standin.Silent
+				}
+				return standin.Deliver
+			})
+		})
+	case 10:
+		tr.on(at, life, "machines hang", func() func() {
+			var hung []*standin.Worker
+			for m := range some() {
+				hung = append(hung, c.world.Worker(m))
+			}
+			for _, w := range hung {
+				w.Hang(true)
+			}
+			return func() {
+				for _, w := range hung {
+					w.Hang(false)
+				}
+			}
+		})
+	case 11:
+		tr.at = append(tr.at, event{at, func() {
+			for i, m := range c.world.Machines() {
+				if i < 2 {
+					c.world.Note("== %s dies", m)
+					c.world.Kill(m)
+				}
+			}
+		}})
+	case 12:
+		nodeRule("a node is cut off from the state service", func(_, from, to string) bool { return from == "state" || to == "state" })
+	case 13:
+		nodeRule("a node is cut off from state service and peers", func(_, from, to string) bool {
+			return !isMachine(from) && !isMachine(to) && from != "user"
+		})
+	case 14:
+		nodeRule("a node is cut off from all", func(string, string, string) bool { return true })
+	case 15:
+		nodeRule("a node is cut off from the workers", func(_, from, to string) bool { return isMachine(from) || isMachine(to) })
+	case 16:
+		zone := c.world.ZoneOf
+		in := c.settings("perch-0").Deployment.Zones[r.IntN(3)]
+		with := r.IntN(2) == 0
+		tr.on(at, life, "a zone is cut off", func() func() {
+			n := who()
+			within := func(host string) bool { return with && host == n || zone(host) == in }
+			return c.world.Net.Trouble(func(from, to, path string) standin.Fault {
+				if from != "user" && within(from) != within(to) && (path != standin.Stream || fault != standin.Late) {
+					return fault
+				}
+				return standin.Deliver
+			})
+		})
+	case 17, 18:
+		back := []time.Duration{10 * time.Millisecond, 150 * time.Millisecond, time.Second, 5 * time.Second}[r.IntN(4)]
+		tr.at = append(tr.at, event{at, func() {
+			names := []string{who()}
+			switch r.IntN(4) {
+			case 0:
+				names = slices.Clone(c.names)
+			case 1:
+				names = append(names, c.names[(slices.Index(c.names, names[0])+1)%3])
+			}
+			names = slices.DeleteFunc(names, func(n string) bool { return c.nodes[n].ended() })
+			c.crash(names...)
+			for i, n := range names {
+				tr.at = append(tr.at, event{at + back + time.Duration(i*r.IntN(300))*time.Millisecond, func() {
+					if c.nodes[n].ended() {
+						c.start(n)
+					}
+				}})
+			}
+		}})
+	case 19:
+		lag := 1 + r.IntN(40)
+		tr.on(at, life, "watches lag", func() func() {
+			c.world.State.Lag(lag)
+			return func() { c.world.State.Lag(0) }
+		})
+	}
+}
+
+// soakSeeds is how many days the test below draws. OSPREYSLIP_SEEDS=from:to plays others.
+const soakSeeds = 8
+
+func seeds(t *testing.T) (list []uint64) {
+	from, to := uint64(1), uint64(soakSeeds)
+	if v := os.Getenv("OSPREYSLIP_SEEDS"); v != "" {
+		if _, err := fmt.Sscanf(v, "%d:%d", &from, &to); err != nil {
+			t.Fatalf("OSPREYSLIP_SEEDS: %v", err)
+		}
+	}
+	for s := from; s <= to; s++ {
+		list = append(list, s)
+	}
+	return list
+}
+
+// Troubles of all kinds meet for two minutes and a half, while users submit, ask,
+// repeat and cancel. No rule may break; when the troubles are over every question is
+// answered within 75 s, and all work is done soon.
+func TestTroublesMeet(t *testing.T) {
+	for _, seed := range seeds(t) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			inCluster(t, nil, func(c *cluster) {
+				r := rand.New(rand.NewPCG(seed, 0))
+				tr := &troubles{c: c, r: r, seed: seed}
+				c.world.Net.LateBy = func(from, to, path string) time.Duration {
+					late := tr.chance("late", from, to, path)
+					switch path {
+					case "/commit":
+						return time.Duration((0.3 + 12*late*late) * float64(time.Second))
+					default:
+						return time.Duration((0.3 + 60*late*late*late) * float64(time.Second))
+					}
+				}
+				c.world.Capacity(8)
+				u := newUsers(c)
+				var ends, lasts []*jobs.Spec
+				for i := range 26 {
+					id := fmt.Sprintf("j-%d", i+1)
+					var s *jobs.Spec
+					h := habit{repeats: r.IntN(4) == 0}
+					switch k := r.IntN(8); {
+					case i < 2:
+						s = service(id, 2)
+						lasts = append(lasts, s)
+					case k == 0:
+						s = service(id, 1+r.IntN(3))
+						h.cancelAfter = time.Duration(20+r.IntN(120)) * time.Second
+					case k == 1:
+						s = gang(id, 2+r.IntN(3), float64(5+r.IntN(20)))
+					case k == 2:
+						s = batch(id, 2, 0)
+						s.EstimateS = float64(2 + r.IntN(70))
+					default:
+						s = batch(id, 1+r.IntN(12), float64(1+r.IntN(40)))
+						s.Priority = []string{jobs.Standard, jobs.Urgent, jobs.BestEffort}[r.IntN(3)]
+						s.OneZone, s.Spread = r.IntN(5) == 0, r.IntN(6) == 0
+						if r.IntN(5) == 0 {
+							s.Zone = "a"
+						}
+						if r.IntN(3) == 0 {
+							s.CheckpntS, s.SaveS = 5, 1
+						}
+					}
+					if s.Ends() {
+						switch r.IntN(4) {
+						case 0:
+							h.cancelAfter = time.Duration(1+r.IntN(90)) * time.Second
+						case 1:
+							h.cancelAtEnd = true
+						}
+						ends = append(ends, s)
+					}
+					at := time.Duration(r.IntN(140)) * time.Second
+					if i < 8 {
+						at = 0
+					}
+					own := rand.New(rand.NewPCG(seed, uint64(i+1)))
+					tr.at = append(tr.at, event{at, func() { u.job(own, s, h) }})
+				}
+				for range 6 + r.IntN(8) {
+					tr.draw(time.Duration(15+r.IntN(120)) * time.Second)
+				}
+				// Two that meet: one begins within seconds of the other.
+				for range 4 {
+					at := time.Duration(20+r.IntN(110)) * time.Second
+					tr.draw(at)
+					tr.draw(at + time.Duration(r.IntN(3000))*time.Millisecond)
+				}
+				start := time.Now()
+				tr.run(start, 230*time.Second)
+				over := time.Now()
+				for _, n := range c.names {
+					if c.nodes[n].ended() {
+						t.Fatalf("%s was not started again", n)
+					}
+				}
+				c.run(76 * time.Second)
+				for _, id := range c.world.Unanswered(over) {
+					if !u.isOver(id) {
+						t.Errorf("forgotten: no question about %s was answered for 75 s", id)
+					}
+				}
+				c.within(4*time.Minute, "all work over", func() bool {
+					return !slices.ContainsFunc(ends, func(s *jobs.Spec) bool { return c.world.Accepted(s.ID) && !u.isOver(s.ID) })
+				})
+				c.within(30*time.Second, "services up", func() bool {
+					return !slices.ContainsFunc(lasts, func(s *jobs.Spec) bool { return c.world.Accepted(s.ID) && c.on(s.ID, s.Tasks) != s.Tasks })
+				})
+				u.stop()
+				if t.Failed() {
+					t.Log(c.world.Trace())
+				}
+			})
+		})
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -99,14 +99,14 @@
 	n := &Node{set: set, d: d, listen: w.Listen, born: time.Now(), counts: control.NewCounts(), gate: &control.Gate{}}
 	n.workers = workers.NewClient(pick(2, d.WorkerConns), d.CallWait)
 	n.store = state.New(set.Endpoints.State, pick(16, 0), d.StateWait, n.budget(false))
-	n.mirror = jobs.NewMirror(n.store, d.PollGap, d.Cancel/4)
+	n.mirror = jobs.NewMirror(n.store, d.PollGap, d.Cancel/4, d.CancelsKept)
 	n.keeper = term.NewKeeper(set.Node, n.store, term.Timing{
 		Lease: d.TermLease, Renew: d.TermRenew, Safe: d.TermSafe, WatchWait: d.WatchWait, Retry: d.TermRenew,
 	})
 	n.hub = peer.NewHub(set.Node, set.Peers, w.Dial, d.TermRenew)
 	n.debug = newHanded()
 	n.hub.HTTP = n.debug.take
-	n.hub.Promise = func(ctx context.Context, _ string, token uint64) bool { return n.keeper.Promise(ctx, token) }
+	n.hub.Promise = n.promise
 	n.hub.Progress = func(from string, p peer.Progress) {
 		if n.keeper.Valid() {
 			return
@@ -118,7 +118,7 @@
 		}
 	}
 	if len(set.Peers) == set.Deployment.Nodes-1 {
-		n.keeper.AllPromise = n.hub.AllPromise
+		n.keeper.AllPromise = n.allPromise
 	}
 	n.cloud = fleet.NewCloud(set.Endpoints.Cloud, pick(4, 0), d.CloudWait, set.Deployment.Cloud.RPS*cloudShare)
 	return n
@@ -186,7 +186,7 @@
 func (n *Node) Work(ctx context.Context, cluster net.Listener) {
 	deps := control.Deps{
 		Settings: n.set, Derived: n.d, Store: n.store, Cloud: n.cloud,
-		Workers: n.workers, Valid: n.keeper.Valid, Proven: n.keeper.Proven, Raised: n.keeper.Raised, Publish: n.publish, Catalog: n.types, Counts: n.counts,
+		Workers: n.workers, Valid: n.keeper.Valid, Promised: n.keeper.Promised, Raised: n.keeper.Raised, Publish: n.publish, Catalog: n.types, Counts: n.counts,
 	}
 	var duties sync.WaitGroup
 	duties.Go(func() { n.hub.Run(ctx, cluster) })
@@ -203,6 +203,29 @@
 	duties.Wait()
 }
 
+// promise answers the holder of the term, which has lost the state service. The
+// promise comes first: what this node tells users later is newer than the question.
+func (n *Node) promise(ctx context.Context, _ string, token, seen uint64) peer.Promise {
+	p := peer.Promise{Given: n.keeper.Promise(ctx, token)}
+	if p.Given && seen > 0 {
+		p.Cancellations, p.Complete = n.mirror.Cancellations(seen)
+	}
+	return p
+}
+
+// allPromise asks all others for promises. The picture of the jobs is renewed only by
+// what all nodes, this one too, have told users and it has not seen: that none reaches
+// the state service now says nothing of what was told before.
+func (n *Node) allPromise(ctx context.Context, token uint64) bool {
+	asked, seen := time.Now(), n.gate.Seen()
+	p := n.hub.AllPromise(ctx, token, seen)
+	own, complete := n.mirror.Cancellations(seen)
+	if p.Given && p.Complete && complete && seen > 0 {
+		n.gate.Cancelled(ctx, append(p.Cancellations, own...), asked)
+	}
+	return p.Given
+}
+
 // budget is what this node may ask of the state service.
 func (n *Node) budget(leading bool) state.Budget {
 	all := n.set.Deployment.State.Within()
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -294,7 +294,6 @@
 		})
 		c.withdraw("perch-2", "j-1")
 		c.run(41 * time.Second)
-		c.world.CheckCancelled()
 		c.world.Net.Faults(nil)
 		c.run(time.Minute)
 		if n := c.on("j-1", 8); n != 0 {
@@ -596,6 +595,7 @@
 		old.Types = s.Types
 		raw, _ := json.Marshal(jobs.Record{Stance: jobs.Queued, Tasks: 2, Spec: old})
 		c.world.State.Put("job/j-2", raw)
+		c.world.Submitted("j-2")
 		c.world.Upload(old)
 		c.within(60*time.Second, "the old one runs", func() bool { return c.on("j-2", 2) == 2 })
 		c.withdraw("perch-1", "j-2")
--- a/internal/node/trouble_test.go
+++ b/internal/node/trouble_test.go
@@ -37,7 +37,6 @@
 			return c.on("j-1", 2) == 2 && !slices.Contains(c.world.On("j-1/0"), deaf)
 		})
 		c.within(60*time.Second, "given back", func() bool { return !slices.Contains(c.world.Machines(), deaf) })
-		c.world.CheckCancelled()
 		if n := c.on("j-2", 20); n != 0 {
 			t.Errorf("%d tasks of a cancelled job", n)
 		}
@@ -76,7 +75,6 @@
 				c.withinDone(3*time.Minute, "j-2")
 				c.within(30*time.Second, "service whole", func() bool { return c.on("j-1", 2) == 2 })
 				c.run(90 * time.Second)
-				c.world.CheckCancelled()
 				if n := c.on("j-3", 12); n != 0 {
 					t.Errorf("%d tasks of a cancelled job", n)
 				}
@@ -129,7 +127,6 @@
 		c.world.State.Lag(1000)
 		c.withdraw("perch-1", "j-1")
 		c.run(41 * time.Second)
-		c.world.CheckCancelled()
 		c.world.State.Lag(0)
 		c.withinDone(3*time.Minute, "j-2")
 	})
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 
 	flatbuffers "github.com/google/flatbuffers/go"
 
@@ -24,13 +25,28 @@
 	Served bool // the state service answers the leader
 }
 
-type ask struct{ number, token uint64 }
+type ask struct {
+	number, token uint64
+	seen          uint64 // the asker's picture of the jobs has all changes up to this revision
+}
+
+// Promise is a node's answer to the holder of the term.
+type Promise struct {
+	Given bool // it keeps from taking the term for a while
+	// Complete tells that the cancellations are all that the node may have told a
+	// user of and that are newer than what the holder has seen.
+	Complete      bool
+	Cancellations []jobs.Cancellation
+}
 
 type promise struct {
 	number uint64
-	given  bool
+	Promise
 }
 
+// mostCancellations bounds a promise well below what a message may be.
+const mostCancellations = maxMessage / 128
+
 func finish(b *flatbuffers.Builder, from string, kind wire.Body, body flatbuffers.UOffsetT) []byte {
 	name := b.CreateString(from)
 	wire.MessageStart(b)
@@ -68,14 +84,36 @@
 	wire.AskStart(b)
 	wire.AskAddNumber(b, a.number)
 	wire.AskAddToken(b, a.token)
+	wire.AskAddSeen(b, a.seen)
 	return finish(b, from, wire.BodyAsk, wire.AskEnd(b))
 }
 
 func encodePromise(from string, p promise) []byte {
-	b := flatbuffers.NewBuilder(128)
+	if len(p.Cancellations) > mostCancellations {
+		p.Complete, p.Cancellations = false, nil
+	}
+	b := flatbuffers.NewBuilder(128 + 48*len(p.Cancellations))
+	var vector flatbuffers.UOffsetT
+	if p.Complete {
+		rows := make([]flatbuffers.UOffsetT, 0, len(p.Cancellations))
+		for _, c := range p.Cancellations {
+			job := b.CreateString(c.Job)
+			wire.CancellationStart(b)
+			wire.CancellationAddJob(b, job)
+			wire.CancellationAddRevision(b, c.Revision)
+			rows = append(rows, wire.CancellationEnd(b))
+		}
+		wire.PromiseStartCancellationsVector(b, len(rows))
+		for _, r := range slices.Backward(rows) {
+			b.PrependUOffsetT(r)
+		}
+		vector = b.EndVector(len(rows))
+	}
 	wire.PromiseStart(b)
 	wire.PromiseAddNumber(b, p.number)
-	wire.PromiseAddGiven(b, p.given)
+	wire.PromiseAddGiven(b, p.Given)
+	wire.PromiseAddComplete(b, p.Complete)
+	wire.PromiseAddCancellations(b, vector)
 	return finish(b, from, wire.BodyPromise, wire.PromiseEnd(b))
 }
 
@@ -112,11 +150,20 @@
 	case wire.BodyAsk:
 		var a wire.Ask
 		a.Init(body.Bytes, body.Pos)
-		m.ask = &ask{a.Number(), a.Token()}
+		m.ask = &ask{a.Number(), a.Token(), a.Seen()}
 	case wire.BodyPromise:
 		var p wire.Promise
 		p.Init(body.Bytes, body.Pos)
-		m.promise = &promise{p.Number(), p.Given()}
+		if p.CancellationsLength() > len(raw)/flatbuffers.SizeUOffsetT {
+			return m, errors.New("more rows than the message can hold")
+		}
+		m.promise = &promise{p.Number(), Promise{Given: p.Given(), Complete: p.Complete()}}
+		var row wire.Cancellation
+		for i := range p.CancellationsLength() {
+			if p.Cancellations(&row, i) {
+				m.promise.Cancellations = append(m.promise.Cancellations, jobs.Cancellation{Job: string(row.Job()), Revision: row.Revision()})
+			}
+		}
 	default:
 		return m, fmt.Errorf("unknown kind of message %d", in.BodyType())
 	}
--- a/internal/peer/message_test.go
+++ b/internal/peer/message_test.go
@@ -20,7 +20,7 @@
 	}
 	progress := Progress{Served: true, Counts: map[string]jobs.Counts{"j-000412": {Done: 3, Running: 13}}}
 	ours := map[string][]byte{
-		"progress": encodeProgress("perch-0", progress), "ask": encodeAsk("perch-1", ask{7, 41}), "promise": encodePromise("perch-2", promise{7, true}),
+		"progress": encodeProgress("perch-0", progress), "ask": encodeAsk("perch-1", ask{7, 41, 0}), "promise": encodePromise("perch-2", promise{7, Promise{Given: true}}),
 	}
 	for line := range strings.Lines(string(raw)) {
 		kind, digits, _ := strings.Cut(strings.TrimSpace(line), " ")
@@ -32,14 +32,17 @@
 
 func TestMessages(t *testing.T) {
 	progress := Progress{Served: true, Counts: map[string]jobs.Counts{"j-1": {Done: 3, Running: 2}, "j-2": {Running: 1}}}
+	told := Promise{Given: true, Complete: true, Cancellations: []jobs.Cancellation{{Job: "j-1", Revision: 431}, {Job: "j-000002", Revision: 1 << 40}}}
 	for _, tc := range []struct {
 		name string
 		raw  []byte
 		want message
 	}{
 		{"progress", encodeProgress("perch-0", progress), message{from: "perch-0", progress: &progress}},
-		{"ask", encodeAsk("perch-1", ask{7, 41}), message{from: "perch-1", ask: &ask{7, 41}}},
-		{"promise", encodePromise("perch-2", promise{7, true}), message{from: "perch-2", promise: &promise{7, true}}},
+		{"ask", encodeAsk("perch-1", ask{7, 41, 430}), message{from: "perch-1", ask: &ask{7, 41, 430}}},
+		{"promise", encodePromise("perch-2", promise{7, told}), message{from: "perch-2", promise: &promise{7, told}}},
+		{"promise of production", encodePromise("perch-2", promise{7, Promise{Given: true}}), message{from: "perch-2", promise: &promise{7, Promise{Given: true}}}},
+		{"promise with too many", encodePromise("perch-2", promise{7, Promise{true, true, make([]jobs.Cancellation, mostCancellations+1)}}), message{from: "perch-2", promise: &promise{7, Promise{Given: true}}}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			body := tc.raw[4:] // behind its size
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -34,12 +34,13 @@
 	Progress func(from string, p Progress)
 	// HTTP takes over a connection on which somebody speaks HTTP; nil refuses.
 	HTTP func(net.Conn)
-	// Promise decides on an ask: whether this node keeps from taking the term.
-	Promise func(ctx context.Context, from string, token uint64) bool
+	// Promise decides on an ask: whether this node keeps from taking the term, and
+	// what it has told users since the asker's picture of the jobs.
+	Promise func(ctx context.Context, from string, token, seen uint64) Promise
 
 	mu      sync.Mutex
 	number  uint64
-	waiting map[uint64]chan bool
+	waiting map[uint64]chan Promise
 }
 
 type link struct {
@@ -49,7 +50,7 @@
 
 // NewHub makes a hub. A connection that has failed is tried again after retry.
 func NewHub(self string, peers []settings.Peer, dial Dial, retry time.Duration) *Hub {
-	h := &Hub{self: self, dial: dial, retry: retry, links: map[string]*link{}, waiting: map[uint64]chan bool{}}
+	h := &Hub{self: self, dial: dial, retry: retry, links: map[string]*link{}, waiting: map[uint64]chan Promise{}}
 	for _, p := range peers {
 		h.links[p.Node] = &link{addr: p.Addr, out: make(chan []byte, 4)}
 	}
@@ -100,9 +101,9 @@
 	}
 }
 
-// AllPromise asks every other controller and tells whether all have promised.
-func (h *Hub) AllPromise(ctx context.Context, token uint64) bool {
-	replies := make(chan bool, len(h.links))
+// AllPromise asks every other controller. Its answer is that of all together.
+func (h *Hub) AllPromise(ctx context.Context, token, seen uint64) Promise {
+	replies := make(chan Promise, len(h.links))
 	for _, l := range h.links {
 		h.mu.Lock()
 		h.number++
@@ -115,22 +116,25 @@
 			h.mu.Unlock()
 		}()
 		select {
-		case l.out <- encodeAsk(h.self, ask{number, token}):
+		case l.out <- encodeAsk(h.self, ask{number, token, seen}):
 		default:
-			return false // a queue that is stuck will bring no answer in time
+			return Promise{} // a queue that is stuck will bring no answer in time
 		}
 	}
+	all := Promise{Given: true, Complete: true}
 	for range h.links {
 		select {
-		case given := <-replies:
-			if !given {
-				return false
+		case p := <-replies:
+			if !p.Given {
+				return Promise{}
 			}
+			all.Complete = all.Complete && p.Complete
+			all.Cancellations = append(all.Cancellations, p.Cancellations...)
 		case <-ctx.Done():
-			return false
+			return Promise{}
 		}
 	}
-	return true
+	return all
 }
 
 // keep holds the connection on which this node speaks.
@@ -177,7 +181,7 @@
 			delete(h.waiting, m.promise.number)
 			h.mu.Unlock()
 			if reply != nil {
-				reply <- m.promise.given
+				reply <- m.promise.Promise
 			}
 			return nil
 		})
@@ -226,7 +230,7 @@
 		case m.progress != nil:
 			h.Progress(m.from, *m.progress)
 		case m.ask != nil:
-			given := h.Promise(ctx, m.from, m.ask.token)
+			given := h.Promise(ctx, m.from, m.ask.token, m.ask.seen)
 			_ = c.SetWriteDeadline(time.Now().Add(4 * h.retry))
 			_, err := c.Write(encodePromise(h.self, promise{m.ask.number, given}))
 			return err
--- a/internal/peer/wire/Ask.go
+++ b/internal/peer/wire/Ask.go
@@ -57,8 +57,20 @@
 	return rcv._tab.MutateUint64Slot(6, n)
 }
 
+func (rcv *Ask) Seen() uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(8))
+	if o != 0 {
+		return rcv._tab.GetUint64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Ask) MutateSeen(n uint64) bool {
+	return rcv._tab.MutateUint64Slot(8, n)
+}
+
 func AskStart(builder *flatbuffers.Builder) {
-	builder.StartObject(2)
+	builder.StartObject(3)
 }
 func AskAddNumber(builder *flatbuffers.Builder, number uint64) {
 	builder.PrependUint64Slot(0, number, 0)
@@ -66,6 +78,9 @@
 func AskAddToken(builder *flatbuffers.Builder, token uint64) {
 	builder.PrependUint64Slot(1, token, 0)
 }
+func AskAddSeen(builder *flatbuffers.Builder, seen uint64) {
+	builder.PrependUint64Slot(2, seen, 0)
+}
 func AskEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/internal/peer/wire/Promise.go
+++ b/internal/peer/wire/Promise.go
@@ -57,8 +57,40 @@
 	return rcv._tab.MutateBoolSlot(6, n)
 }
 
+func (rcv *Promise) Complete() bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(8))
+	if o != 0 {
+		return rcv._tab.GetBool(o + rcv._tab.Pos)
+	}
+	return false
+}
+
+func (rcv *Promise) MutateComplete(n bool) bool {
+	return rcv._tab.MutateBoolSlot(8, n)
+}
+
+func (rcv *Promise) Cancellations(obj *Cancellation, j int) bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(10))
+	if o != 0 {
+		x := rcv._tab.Vector(o)
+		x += flatbuffers.UOffsetT(j) * 4
+		x = rcv._tab.Indirect(x)
+		obj.Init(rcv._tab.Bytes, x)
+		return true
+	}
+	return false
+}
+
+func (rcv *Promise) CancellationsLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(10))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
 func PromiseStart(builder *flatbuffers.Builder) {
-	builder.StartObject(2)
+	builder.StartObject(4)
 }
 func PromiseAddNumber(builder *flatbuffers.Builder, number uint64) {
 	builder.PrependUint64Slot(0, number, 0)
@@ -66,6 +98,15 @@
 func PromiseAddGiven(builder *flatbuffers.Builder, given bool) {
 	builder.PrependBoolSlot(1, given, false)
 }
+func PromiseAddComplete(builder *flatbuffers.Builder, complete bool) {
+	builder.PrependBoolSlot(2, complete, false)
+}
+func PromiseAddCancellations(builder *flatbuffers.Builder, cancellations flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(3, flatbuffers.UOffsetT(cancellations), 0)
+}
+func PromiseStartCancellationsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(4, numElems, 4)
+}
 func PromiseEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/internal/settings/derived.go
+++ b/internal/settings/derived.go
@@ -43,6 +43,7 @@
 	ChartersOut int // requests for machines on their way at a time
 	ListLag     time.Duration
 	FlushGap    time.Duration // least time between two transactions of the leader
+	CancelsKept int           // cancellations that each node remembers in order
 	PollGap     time.Duration // least time between two reads for users' polls
 	BeginBy     time.Duration // a job that got nothing for so long goes first
 	Lasting     time.Duration // a start counts if the task is not stopped for so long
@@ -123,10 +124,12 @@
 		// Transactions in a row would spend the write rate on small ones.
 		FlushGap: seconds(flushWrites / store.WriteRPS),
 		// All nodes together spend a part of the reads on polls.
-		PollGap:  seconds(pollReads * float64(d.Nodes) / (pollShare * store.RPS)),
-		BeginBy:  largestBegin / 2,
-		GangPeer: seconds(or(d.Workers.GangPeerS, d.Workers.LeaseS/2)),
-		Lasting:  lasting,
+		PollGap: seconds(pollReads * float64(d.Nodes) / (pollShare * store.RPS)),
+		// As many as the state service takes in the time that a cancellation has.
+		CancelsKept: int(store.WriteRPS * cancel.Seconds()),
+		BeginBy:     largestBegin / 2,
+		GangPeer:    seconds(or(d.Workers.GangPeerS, d.Workers.LeaseS/2)),
+		Lasting:     lasting,
 
 		TxnOps:     store.TxnOps,
 		ValueBytes: value,
--- a/internal/standin/net.go
+++ b/internal/standin/net.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -27,20 +28,26 @@
 	LoseAnswer       // it is executed, but the answer never comes
 	Late             // it is executed after Net.Lateness, when nobody waits any more
 	Copied           // it is delivered, and executed once more after Net.Lateness
+	Slow             // it arrives, and its answer comes, after Net.Lateness
 )
 
 // Net carries requests between named hosts.
 type Net struct {
 	Lateness time.Duration
+	LateBy   func(from, to, path string) time.Duration // for each message; nil means Lateness
 
 	mu      sync.Mutex
 	hosts   map[string]http.Handler
 	names   map[string]string // address to host
 	streams map[string]*listener
-	rule    func(from, to, path string) Fault
+	rule    Rule
+	more    []*Rule // troubles on top of it, the first to begin first
 	tasks   sync.WaitGroup
 }
 
+// Rule decides a message's fate.
+type Rule func(from, to, path string) Fault
+
 // NewNet makes a network without hosts.
 func NewNet() *Net {
 	return &Net{hosts: map[string]http.Handler{}, names: map[string]string{}, streams: map[string]*listener{}, Lateness: time.Minute}
@@ -59,12 +66,32 @@
 }
 
 // Faults sets the rule that decides each message's fate; nil delivers all.
-func (n *Net) Faults(rule func(from, to, path string) Fault) {
+func (n *Net) Faults(rule Rule) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.rule = rule
 }
 
+// Trouble adds a rule to those in force, until it is ended.
+func (n *Net) Trouble(rule Rule) (end func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	one := &rule
+	n.more = append(n.more, one)
+	return func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.more = slices.DeleteFunc(n.more, func(r *Rule) bool { return r == one })
+	}
+}
+
+func (n *Net) lateness(from, to, path string) time.Duration {
+	if n.LateBy != nil {
+		return n.LateBy(from, to, path)
+	}
+	return n.Lateness
+}
+
 // From returns the network as one host sees it.
 func (n *Net) From(host string) http.RoundTripper { return &link{n, host} }
 
@@ -148,10 +175,17 @@
 func (n *Net) fate(from, to, path string) Fault {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.rule == nil {
-		return Deliver
+	if n.rule != nil {
+		if f := n.rule(from, to, path); f != Deliver {
+			return f
+		}
+	}
+	for _, r := range n.more {
+		if f := (*r)(from, to, path); f != Deliver {
+			return f
+		}
 	}
-	return n.rule(from, to, path)
+	return Deliver
 }
 
 // Wait waits for messages that are still being executed.
@@ -179,6 +213,7 @@
 	h, to := l.net.hosts[addr], l.net.names[addr]
 	l.net.mu.Unlock()
 	fault := l.net.fate(l.from, to, req.URL.Path)
+	late := l.net.lateness(l.from, to, req.URL.Path)
 	ctx := req.Context()
 	switch {
 	case fault == Silent:
@@ -197,7 +232,7 @@
 		again.RequestURI, again.RemoteAddr = inner.RequestURI, l.from
 		again.Body = io.NopCloser(bytes.NewReader(body))
 		l.net.tasks.Go(func() {
-			time.Sleep(l.net.Lateness)
+			time.Sleep(late)
 			l.net.mu.Lock()
 			h := l.net.hosts[addr] // whoever is there by then
 			l.net.mu.Unlock()
@@ -208,8 +243,8 @@
 	}
 	answer := make(chan *http.Response, 1)
 	l.net.tasks.Go(func() {
-		if fault == Late {
-			time.Sleep(l.net.Lateness)
+		if fault == Late || fault == Slow {
+			time.Sleep(late)
 		}
 		time.Sleep(time.Millisecond)
 		rec := httptest.NewRecorder()
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -375,7 +375,11 @@
 	for {
 		s.mu.Lock()
 		out, rev := []change{}, after
-		if shown := s.log[:max(0, len(s.log)-s.lag)]; !s.down && !s.refuse[r.RemoteAddr] {
+		cut := max(0, len(s.log)-s.lag)
+		for cut > 0 && cut < len(s.log) && s.log[cut-1].Mark == s.log[cut].Mark {
+			cut-- // a transaction is shown whole or not at all
+		}
+		if shown := s.log[:cut]; !s.down && !s.refuse[r.RemoteAddr] {
 			for _, c := range shown {
 				if c.Mark > after && strings.HasPrefix(c.Set+c.Remove, q.Get("prefix")) {
 					out = append(out, c)
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -40,6 +40,10 @@
 	progress  map[string]time.Duration // that a gang has saved
 	Cancel    time.Duration
 	broken    []string
+	trace     []string // what happened, in order
+	born      time.Time
+	asked     map[string]*asked
+	Ended     func(id string) // a job's last task has ended
 	capacity  int
 	alive     sync.WaitGroup
 }
@@ -61,7 +65,7 @@
 	return &World{
 		Net: NewNet(), State: NewState(), Types: types, Boot: 10 * time.Second, Lag: 4 * time.Second, Pace: pace, ctx: ctx,
 		machines: map[string]*rented{}, charters: map[string][]string{}, specs: map[string]*jobs.Spec{}, done: map[string]bool{},
-		gangs: map[gangKey]*gang{}, progress: map[string]time.Duration{}, on: map[string]map[string]bool{}, cancelled: map[string]time.Time{}, Cancel: time.Hour, capacity: 1000,
+		born: time.Now(), asked: map[string]*asked{}, gangs: map[gangKey]*gang{}, progress: map[string]time.Duration{}, on: map[string]map[string]bool{}, cancelled: map[string]time.Time{}, Cancel: time.Hour, capacity: 1000,
 	}
 }
 
@@ -100,23 +104,27 @@
 	w.specs[s.ID] = s
 }
 
-// ToldCancelled notes that a user was told that a job is cancelled.
-func (w *World) ToldCancelled(id string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
+// toldCancelled notes that a user was told that a job is cancelled. When its time is
+// over, no task of it may be anywhere.
+func (w *World) toldCancelled(id string) {
+	if _, ok := w.cancelled[id]; ok {
+		return
+	}
 	w.cancelled[id] = time.Now()
-}
-
-// CheckCancelled records tasks that outlasted their job's cancellation.
-func (w *World) CheckCancelled() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for task, on := range w.on {
-		id, _, _ := workers.SplitTask(task)
-		if at, ok := w.cancelled[id]; ok && len(on) > 0 && time.Since(at) > w.Cancel {
-			w.broken = append(w.broken, "ran_cancelled: "+task)
+	w.alive.Go(func() {
+		select {
+		case <-w.ctx.Done():
+			return
+		case <-time.After(w.Cancel + time.Millisecond):
 		}
-	}
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		for task, on := range w.on {
+			if of, _, _ := workers.SplitTask(task); of == id && len(on) > 0 {
+				w.breaks("ran_cancelled: %s on %v", task, on)
+			}
+		}
+	})
 }
 
 // Machines returns the names of all machines that are up, in order.
@@ -175,14 +183,15 @@
 	id, _, _ := workers.SplitTask(t.Task)
 	job := w.specs[id]
 	if len(w.on[t.Task]) > 0 {
-		w.broken = append(w.broken, fmt.Sprintf("ran_twice: %s on %s", t.Task, wk.rep.Machine))
+		w.breaks("ran_twice: %s on %s, while on %v", t.Task, wk.rep.Machine, w.on[t.Task])
 	}
 	if w.on[t.Task] == nil {
 		w.on[t.Task] = map[string]bool{}
 	}
 	w.on[t.Task][wk.rep.Machine] = true
+	w.note("%s attempt %d starts on %s in %s", t.Task, t.Attempt, wk.rep.Machine, wk.rep.Zone)
 	if at, ok := w.cancelled[id]; ok && time.Since(at) > w.Cancel {
-		w.broken = append(w.broken, "ran_cancelled: "+t.Task)
+		w.breaks("ran_cancelled: %s starts", t.Task)
 	}
 	zones, cpus := map[string]int{}, 0.0
 	for task, on := range w.on {
@@ -198,11 +207,11 @@
 	}
 	for _, team := range w.Teams {
 		if team.Name == job.Team && team.CPUsMax > 0 && cpus > team.CPUsMax+1e-6 {
-			w.broken = append(w.broken, fmt.Sprintf("quota: %s uses %v", team.Name, cpus))
+			w.breaks("quota: %s uses %v for %s", team.Name, cpus, t.Task)
 		}
 	}
 	if !job.Allows(wk.rep.Type, wk.rep.Zone, wk.rep.Spot) || job.OneZone && len(zones) > 1 || zones[wk.rep.Zone] > job.ZoneLimit() {
-		w.broken = append(w.broken, fmt.Sprintf("wrong_place: %s on %s", t.Task, wk.rep.Machine))
+		w.breaks("wrong_place: %s on %s", t.Task, wk.rep.Machine)
 	}
 }
 
@@ -210,11 +219,15 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	delete(w.on[t.Task], wk.rep.Machine)
+	w.note("%s attempt %d is off %s: %s", t.Task, t.Attempt, wk.rep.Machine, cause)
 	if id, _, _ := workers.SplitTask(t.Task); w.specs[id] != nil && w.specs[id].Shape == jobs.Gang && cause != workers.CauseDone {
 		w.gangLeft(t)
 	}
-	if cause == workers.CauseDone {
+	if cause == workers.CauseDone && !w.done[t.Task] {
 		w.done[t.Task] = true
+		if id, _, _ := workers.SplitTask(t.Task); w.Ended != nil && w.allDone(id) {
+			go w.Ended(id)
+		}
 	}
 }
 
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -58,7 +58,7 @@
 	timing Timing
 	base   time.Time
 	until  atomic.Int64 // holds the term until base+until
-	proven atomic.Int64 // all others were without the state service at base+proven
+	asked  atomic.Int64 // for the last promises of all others, at base+asked
 	holder atomic.Pointer[Holder]
 	heard  atomic.Int64 // of the term, from the state service, at base+heard
 	vow    vow
@@ -86,11 +86,11 @@
 	return time.Since(k.base) < time.Duration(k.until.Load())
 }
 
-// Proven returns when, at the latest known moment, no node could reach the
-// state service. It is the zero time if that was never so.
-func (k *Keeper) Proven() time.Time {
-	if p := k.proven.Load(); p > 0 {
-		return k.base.Add(time.Duration(p))
+// Promised returns when the last promises were asked for that all others gave. It
+// is the zero time if that was never so.
+func (k *Keeper) Promised() time.Time {
+	if at := k.asked.Load(); at > 0 {
+		return k.base.Add(time.Duration(at))
 	}
 	return time.Time{}
 }
@@ -289,7 +289,7 @@
 			// the term in between and have promised nothing against itself.
 			if o.err == nil && k.Valid() {
 				k.extend(o.sent)
-				k.proven.Store(int64(o.sent.Sub(k.base)))
+				k.asked.Store(int64(o.sent.Sub(k.base)))
 			}
 		case <-tick.C:
 		}
