--- a/internal/control/model.go
+++ b/internal/control/model.go
@@ -21,7 +21,7 @@
 	atMs      int64
 	cancelled bool
 	heard     time.Time // when this leader heard that it is cancelled
-	final     bool // done is written, or being written
+	final     bool      // done is written, or being written
 	done      []uint64
 	doneCount int
 	chunks    map[int]*chunk
