--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -211,7 +211,9 @@
 		l.judged(ctx, l.machines[v.Machine], v.Reason, now)
 	}
 	l.manageFleet(ctx, now)
-	if l.watch.Disrupted() && l.mayResign {
+	// What is known to be lost is durable first: the next leader would wait a whole lease
+	// for it once more.
+	if l.watch.Disrupted() && l.mayResign && !l.writing && !l.book.waiting() {
 		slog.Info("resigning", "term", l.token, "reason", "no machine of any zone reports here")
 		l.resign = true
 	}
--- a/internal/jobs/spec.go
+++ b/internal/jobs/spec.go
@@ -215,11 +215,20 @@
 	if !ok {
 		return fmt.Errorf("crew %q is not known", s.Team)
 	}
-	if !slices.ContainsFunc(types, func(t MachineType) bool {
-		return t.Fits(s) && slices.ContainsFunc(t.Zones, func(z string) bool { return s.Allows(t.Name, z, false) })
-	}) {
+	zones := map[string]bool{}
+	for _, t := range types {
+		for _, z := range t.Zones {
+			if t.Fits(s) && s.Allows(t.Name, z, false) {
+				zones[z] = true
+			}
+		}
+	}
+	if len(zones) == 0 {
 		return errors.New("a task fits no allowed machine type")
 	}
+	if s.Shape != Batch && s.ZoneLimit() < s.Tasks && (s.OneZone || len(zones) == 1) {
+		return errors.New("all tasks run at a time, and no zone may have more than half of them")
+	}
 	n := 1.0
 	if s.Shape != Batch {
 		n = float64(s.Tasks)
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -37,6 +37,7 @@
 	world  *standin.World
 	nodes  map[string]*life
 	names  []string
+	drawn  uint64
 	tweak  func(*settings.Settings)
 	adapt  func(*Node) // of nodes that are started from now on
 	duties sync.WaitGroup
@@ -60,6 +61,7 @@
 // inCluster runs a scenario. Whatever it does, no rule may be broken.
 func inCluster(t *testing.T, tweak func(*settings.Settings), scenario func(c *cluster)) {
 	t.Helper()
+	t.Parallel() // each has a bubble of its own
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		c := &cluster{t: t, ctx: ctx, nodes: map[string]*life{}, names: []string{"perch-0", "perch-1", "perch-2"}, tweak: tweak}
--- a/internal/node/mixed_test.go
+++ b/internal/node/mixed_test.go
@@ -129,6 +129,12 @@
 	u.all.Wait()
 }
 
+// rand is a source for a test's own users.
+func (c *cluster) rand() *rand.Rand {
+	c.drawn++
+	return rand.New(rand.NewPCG(c.drawn, 0))
+}
+
 func (u *users) isOver(id string) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
