--- a/internal/jobs/api.go
+++ b/internal/jobs/api.go
@@ -24,7 +24,7 @@
 	Settings *settings.Settings
 	Derived  settings.Derived
 	Store    *state.Client
-	Mirror   *Mirror
+	Cache    *Cache
 	// Catalog returns the machine types, or nil while they are not known.
 	Catalog func() []MachineType
 	// Counts returns a job's counts for display, where this node knows them.
@@ -104,7 +104,7 @@
 	if err := jsonv2.Unmarshal(p.Value, &rec); err != nil {
 		return nil, 0, err
 	}
-	a.Mirror.set(p.Key, p.Value, p.Mark) // before anybody is told
+	a.Cache.set(p.Key, p.Value, p.Mark) // before anybody is told
 	return &rec, p.Mark, nil
 }
 
@@ -208,7 +208,7 @@
 		refuse(w, http.StatusNotFound, "no such job")
 		return
 	}
-	rec, found, err := a.Mirror.Get(ctx, id)
+	rec, found, err := a.Cache.Get(ctx, id)
 	switch {
 	case err != nil:
 		a.later(w, "state service does not answer")
@@ -249,7 +249,7 @@
 		if err != nil || len(failed) > 0 {
 			return false, err
 		}
-		a.Mirror.set(RecordKey(id), ended, rev)
+		a.Cache.set(RecordKey(id), ended, rev)
 		slog.Debug("job cancelled", "job", id)
 		reply(w, http.StatusOK, view{ID: id, Stance: Cancelled})
 		return true, nil
--- a/internal/jobs/mirror.go
+++ b/internal/jobs/cache.go
@@ -15,15 +15,15 @@
 	"ospreyslip/internal/state"
 )
 
-// Mirror is this node's copy of all jobs' stances. It answers users' polls at the
+// Cache is this node's copy of all jobs' stances. It answers users' polls at the
 // cost of two small reads of the state service for all polls that wait at a time.
 //
-// An answer is as good as a read of its own record: the mirror holds every job
+// An answer is as good as a read of its own record: the cache holds every job
 // as of a revision, and is brought up to one that was read after the poll came in.
-type Mirror struct {
+type Cache struct {
 	store *state.Client
 	gap   time.Duration // least time between two reads
-	idle  time.Duration // the mirror is kept up to date without polls, too
+	idle  time.Duration // the cache is kept up to date without polls, too
 	asks  chan chan error
 
 	mu      sync.RWMutex
@@ -44,17 +44,17 @@
 	mark   uint64 // its revision
 }
 
-// NewMirror makes an empty mirror; Run fills it. It remembers the last keep
+// NewCache makes an empty cache; Run fills it. It remembers the last keep
 // cancellations in order.
-func NewMirror(store *state.Client, gap, idle time.Duration, keep int) *Mirror {
-	return &Mirror{store: store, gap: gap, idle: idle, keep: keep, asks: make(chan chan error), jobs: map[string]brief{}}
+func NewCache(store *state.Client, gap, idle time.Duration, keep int) *Cache {
+	return &Cache{store: store, gap: gap, idle: idle, keep: keep, asks: make(chan chan error), jobs: map[string]brief{}}
 }
 
 // Cancellations returns all cancellations after a revision that this node may have
 // told a user of; complete is false if it does not know them all. What it learns of
 // is taken in before anybody is told. What an earlier process of this node told was
 // in the records when this one first read all of them.
-func (m *Mirror) Cancellations(after uint64) (later []Cancellation, complete bool) {
+func (m *Cache) Cancellations(after uint64) (later []Cancellation, complete bool) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	for _, c := range m.recent {
@@ -67,7 +67,7 @@
 
 // Get returns a job as of a moment after the call. Found is false for one that
 // was not accepted by then.
-func (m *Mirror) Get(ctx context.Context, id string) (rec Record, found bool, err error) {
+func (m *Cache) Get(ctx context.Context, id string) (rec Record, found bool, err error) {
 	fresh := make(chan error, 1)
 	select {
 	case m.asks <- fresh:
@@ -90,7 +90,7 @@
 
 // Run reads for those who ask until the context ends. Who asks while a read is
 // under way waits for the next: that one may have been carried out already.
-func (m *Mirror) Run(ctx context.Context) {
+func (m *Cache) Run(ctx context.Context) {
 	var lastRead time.Time
 	idle := m.gap // others may soon need to know what this node has told users
 	for {
@@ -128,10 +128,10 @@
 // readTries is how often a read asks for changes that lag.
 const readTries = 3
 
-// read brings the mirror up to date. A watch may lag, or be empty because the
+// read brings the cache up to date. A watch may lag, or be empty because the
 // service does not serve this node: the revision, read first, is what it has to
 // reach.
-func (m *Mirror) read(ctx context.Context) error {
+func (m *Cache) read(ctx context.Context) error {
 	if m.whole {
 		least, err := m.store.Revision(ctx)
 		if err != nil {
@@ -168,7 +168,7 @@
 
 // list reads all records. They are never removed, so that what is known of them
 // is only added to.
-func (m *Mirror) list(ctx context.Context) error {
+func (m *Cache) list(ctx context.Context) error {
 	pairs, revision, err := m.store.List(ctx, RecordPrefix)
 	if err != nil {
 		return err
@@ -185,7 +185,7 @@
 
 // set takes in a record. Changes that the list was ahead of come once more after
 // it: they must not turn an answer back while they are taken in.
-func (m *Mirror) set(key string, value json.RawMessage, mark uint64) {
+func (m *Cache) set(key string, value json.RawMessage, mark uint64) {
 	var rec struct {
 		Stance string `json:"stance"`
 		Tasks  int    `json:"tasks"`
@@ -213,7 +213,7 @@
 	}
 }
 
-func (m *Mirror) remember(c Cancellation) {
+func (m *Cache) remember(c Cancellation) {
 	m.recent = append(m.recent, c)
 	if len(m.recent) <= 2*m.keep {
 		return
--- a/internal/jobs/mirror_order_test.go
+++ b/internal/jobs/cache_order_test.go
@@ -6,10 +6,10 @@
 	"time"
 )
 
-// After the mirror has read all records, the watch brings changes once more that
+// After the cache has read all records, the watch brings changes once more that
 // the list was ahead of. A poll that is answered meanwhile must not see them.
-func TestMirrorNeverTurnsBack(t *testing.T) {
-	m := NewMirror(nil, time.Second, time.Second, 8)
+func TestCacheNeverTurnsBack(t *testing.T) {
+	m := NewCache(nil, time.Second, time.Second, 8)
 	m.set("job/j-1", []byte(`{"stance":"done","tasks":3}`), 105)   // from the list
 	m.set("job/j-1", []byte(`{"stance":"queued","tasks":3}`), 102) // from the watch, on the way to 105
 	if got := m.jobs["j-1"].stance; got != Done {
@@ -24,7 +24,7 @@
 
 // Who no longer remembers all cancellations since a revision says so.
 func TestCancellationsRemembered(t *testing.T) {
-	m := NewMirror(nil, time.Second, time.Second, 4)
+	m := NewCache(nil, time.Second, time.Second, 4)
 	cancel := func(n uint64) { m.set(RecordKey(fmt.Sprintf("j-%d", n)), []byte(`{"stance":"aborted"}`), n) }
 	if _, complete := m.Cancellations(0); complete {
 		t.Error("complete before the records were read")
--- a/internal/jobs/mirror_test.go
+++ b/internal/jobs/cache_test.go
@@ -14,15 +14,15 @@
 	"ospreyslip/internal/state"
 )
 
-// mirrored is a mirror on one node, and a client by which another one writes.
-type mirrored struct {
+// cached is a cache on one node, and a client by which another one writes.
+type cached struct {
 	t     *testing.T
 	store *standin.State
 	other *state.Client
-	m     *jobs.Mirror
+	m     *jobs.Cache
 }
 
-func withMirror(t *testing.T, scenario func(*mirrored)) {
+func withCache(t *testing.T, scenario func(*cached)) {
 	synctest.Test(t, func(t *testing.T) {
 		world, store := standin.NewNet(), standin.NewState()
 		world.Attach("state", "state:1", store)
@@ -30,17 +30,17 @@
 			return state.New("state:1", world.From(host), time.Second, state.Budget{Requests: 1000, Writes: 1000})
 		}
 		ctx, cancel := context.WithCancel(t.Context())
-		m := jobs.NewMirror(client("perch-0"), 100*time.Millisecond, 10*time.Second, 8)
+		m := jobs.NewCache(client("perch-0"), 100*time.Millisecond, 10*time.Second, 8)
 		var duties sync.WaitGroup
 		duties.Go(func() { m.Run(ctx) })
-		scenario(&mirrored{t, store, client("perch-1"), m})
+		scenario(&cached{t, store, client("perch-1"), m})
 		cancel()
 		duties.Wait()
 		world.Wait()
 	})
 }
 
-func (c *mirrored) write(id, stance string) {
+func (c *cached) write(id, stance string) {
 	c.t.Helper()
 	value, _ := json.Marshal(jobs.Record{Stance: stance, Tasks: 3})
 	p, _, err := c.other.Get(c.t.Context(), jobs.RecordKey(id))
@@ -53,7 +53,7 @@
 }
 
 // poll returns the stance that a user would be told, "404" or "503".
-func (c *mirrored) poll(id string) string {
+func (c *cached) poll(id string) string {
 	ctx, cancel := context.WithTimeout(c.t.Context(), 2*time.Second)
 	defer cancel()
 	rec, found, err := c.m.Get(ctx, id)
@@ -66,7 +66,7 @@
 	return rec.Stance
 }
 
-func (c *mirrored) want(id, stance, when string) {
+func (c *cached) want(id, stance, when string) {
 	c.t.Helper()
 	if got := c.poll(id); got != stance {
 		c.t.Errorf("%s: %s is %s, want %s", when, id, got, stance)
@@ -74,9 +74,9 @@
 }
 
 // Once any node has told a user that a job is accepted, done or cancelled, no
-// node may give an older answer, whatever befalls its mirror.
-func TestMirrorIsNeverBehind(t *testing.T) {
-	withMirror(t, func(c *mirrored) {
+// node may give an older answer, whatever befalls its cache.
+func TestCacheIsNeverBehind(t *testing.T) {
+	withCache(t, func(c *cached) {
 		c.want("j-1", "404", "never submitted")
 		c.write("j-1", jobs.Queued)
 		c.want("j-1", jobs.Queued, "just accepted by another node")
@@ -106,7 +106,7 @@
 
 		c.store.Down(true)
 		c.want("j-15", "503", "an outage")
-		c.want("j-99", "503", "an outage: what is not in the mirror may exist")
+		c.want("j-99", "503", "an outage: what is not in the cache may exist")
 		c.store.Down(false)
 		c.want("j-99", "404", "after it")
 	})
@@ -114,7 +114,7 @@
 
 // A thousand polls at once cost the state service as much as one.
 func TestPollsShareReads(t *testing.T) {
-	withMirror(t, func(c *mirrored) {
+	withCache(t, func(c *cached) {
 		c.write("j-1", jobs.Queued)
 		c.want("j-1", jobs.Queued, "accepted")
 		before := c.store.Requests("/watch")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,7 +44,7 @@
 	set     *settings.Settings
 	d       settings.Derived
 	store   *state.Client
-	mirror  *jobs.Mirror
+	cache   *jobs.Cache
 	cloud   *fleet.Cloud
 	workers *workers.Client
 	keeper  *term.Keeper
@@ -99,7 +99,7 @@
 	n := &Node{set: set, d: d, listen: w.Listen, born: time.Now(), counts: control.NewCounts(), gate: &control.Gate{}}
 	n.workers = workers.NewClient(pick(2, d.WorkerConns), d.CallWait)
 	n.store = state.New(set.Endpoints.State, pick(16, 0), d.StateWait, n.budget(false))
-	n.mirror = jobs.NewMirror(n.store, d.PollGap, d.Cancel/4, d.CancelsKept)
+	n.cache = jobs.NewCache(n.store, d.PollGap, d.Cancel/4, d.CancelsKept)
 	n.keeper = term.NewKeeper(set.Node, n.store, term.Timing{
 		Lease: d.TermLease, Renew: d.TermRenew, Safe: d.TermSafe, WatchWait: d.WatchWait, Retry: d.TermRenew,
 	})
@@ -170,7 +170,7 @@
 // Handler serves users and workers.
 func (n *Node) Handler() http.Handler {
 	mux := http.NewServeMux()
-	users := &jobs.API{Settings: n.set, Derived: n.d, Store: n.store, Mirror: n.mirror, Catalog: n.types, Counts: n.counts.Get, Ready: n.ready}
+	users := &jobs.API{Settings: n.set, Derived: n.d, Store: n.store, Cache: n.cache, Catalog: n.types, Counts: n.counts.Get, Ready: n.ready}
 	users.Register(mux)
 	reports := &workers.Handler{Answer: n.gate.Report, Leader: func() string {
 		if l := n.keeper.Leader(); l != n.set.Node {
@@ -192,7 +192,7 @@
 	duties.Go(func() { n.hub.Run(ctx, cluster) })
 	duties.Go(func() { n.serveDebug(ctx) })
 	duties.Go(func() { n.keepCatalog(ctx) })
-	duties.Go(func() { n.mirror.Run(ctx) })
+	duties.Go(func() { n.cache.Run(ctx) })
 	duties.Go(func() {
 		n.keeper.Run(ctx, func(ctx context.Context, t term.Term) {
 			n.store.SetBudget(n.budget(true))
@@ -208,7 +208,7 @@
 func (n *Node) promise(ctx context.Context, _ string, token, seen uint64) peer.Promise {
 	p := peer.Promise{Given: n.keeper.Promise(ctx, token)}
 	if p.Given && seen > 0 {
-		p.Cancellations, p.Complete = n.mirror.Cancellations(seen)
+		p.Cancellations, p.Complete = n.cache.Cancellations(seen)
 	}
 	return p
 }
@@ -219,7 +219,7 @@
 func (n *Node) allPromise(ctx context.Context, token uint64) bool {
 	asked, seen := time.Now(), n.gate.Seen()
 	p := n.hub.AllPromise(ctx, token, seen)
-	own, complete := n.mirror.Cancellations(seen)
+	own, complete := n.cache.Cancellations(seen)
 	if p.Given && p.Complete && complete && seen > 0 {
 		n.gate.Cancelled(ctx, append(p.Cancellations, own...), asked)
 	}
--- a/internal/term/vow_test.go
+++ b/internal/term/promise_test.go
@@ -5,69 +5,69 @@
 	"time"
 )
 
-// The vow is what keeps two nodes from leading while the holder lives on
+// The promise is what keeps two nodes from leading while the holder lives on
 // promises. Times are in units of one promise.
-func TestVow(t *testing.T) {
+func TestPromise(t *testing.T) {
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	life := time.Second
 	at := func(units float64) time.Time { return start.Add(time.Duration(units * float64(life))) }
 
 	t.Run("a promise forbids campaigns until it ends", func(t *testing.T) {
-		var v vow
-		if !v.promise(at(0), life, 7) {
+		var p promise
+		if !p.give(at(0), life, 7) {
 			t.Fatal("nothing stands against it")
 		}
-		if v.campaign(at(0.9), false, 7) {
+		if p.campaign(at(0.9), false, 7) {
 			t.Error("campaigned within the promise")
 		}
-		if !v.campaign(at(1.1), false, 7) {
+		if !p.campaign(at(1.1), false, 7) {
 			t.Error("the promise is over")
 		}
 	})
 	t.Run("no promise while a campaign may still succeed", func(t *testing.T) {
-		var v vow
-		v.campaign(at(0), false, 7) // built on token 7; its outcome is never learnt
-		if v.promise(at(60), life, 7) {
+		var p promise
+		p.campaign(at(0), false, 7) // built on token 7; its outcome is never learnt
+		if p.give(at(60), life, 7) {
 			t.Error("the late campaign could unseat the holder of token 7")
 		}
-		if !v.promise(at(60), life, 8) {
+		if !p.give(at(60), life, 8) {
 			t.Error("token 8 came after the campaign, which can no longer succeed")
 		}
 	})
 	t.Run("a settled campaign stands against nothing", func(t *testing.T) {
-		var v vow
-		v.campaign(at(0), false, 7)
-		v.settled()
-		if !v.promise(at(0.1), life, 7) {
+		var p promise
+		p.campaign(at(0), false, 7)
+		p.settled()
+		if !p.give(at(0.1), life, 7) {
 			t.Error("refused without a reason")
 		}
 	})
 	t.Run("a new life waits out what an earlier one may have promised", func(t *testing.T) {
-		v := vow{until: at(1), fromEarlier: true}
-		if v.campaign(at(0.5), false, 7) {
+		p := promise{until: at(1), fromEarlier: true}
+		if p.campaign(at(0.5), false, 7) {
 			t.Error("campaigned within the earlier life's promise")
 		}
-		if !v.campaign(at(0.5), true, 7) {
+		if !p.campaign(at(0.5), true, 7) {
 			t.Error("its own earlier life held the term, so that it had promised nobody")
 		}
-		v = vow{until: at(1), fromEarlier: true}
-		v.promise(at(0.2), life, 7)
-		if v.campaign(at(0.5), true, 7) {
+		p = promise{until: at(1), fromEarlier: true}
+		p.give(at(0.2), life, 7)
+		if p.campaign(at(0.5), true, 7) {
 			t.Error("a promise of this life binds in any case")
 		}
 	})
 	t.Run("no promise to a holder that has been succeeded", func(t *testing.T) {
-		var v vow
-		v.know(8)
-		if v.promise(at(0), life, 7) || !v.promise(at(0), life, 8) {
+		var p promise
+		p.know(8)
+		if p.give(at(0), life, 7) || !p.give(at(0), life, 8) {
 			t.Error("token 8 was given out")
 		}
 	})
 	t.Run("promises only grow", func(t *testing.T) {
-		var v vow
-		v.promise(at(0), 3*life, 7)
-		v.promise(at(1), life, 7)
-		if left := v.left(at(1), false); left != 2*life {
+		var p promise
+		p.give(at(0), 3*life, 7)
+		p.give(at(1), life, 7)
+		if left := p.left(at(1), false); left != 2*life {
 			t.Errorf("left %v", left)
 		}
 	})
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -52,17 +52,17 @@
 
 // Keeper campaigns for the term and keeps it.
 type Keeper struct {
-	node   string
-	life   string
-	store  *state.Client
-	timing Timing
-	base   time.Time
-	until  atomic.Int64 // holds the term until base+until
-	asked  atomic.Int64 // for the last promises of all others, at base+asked
-	holder atomic.Pointer[Holder]
-	heard  atomic.Int64 // of the term, from the state service, at base+heard
-	vow    vow
-	token  atomic.Uint64 // of the term that this node holds, as raised since
+	node     string
+	life     string
+	store    *state.Client
+	timing   Timing
+	base     time.Time
+	until    atomic.Int64 // holds the term until base+until
+	asked    atomic.Int64 // for the last promises of all others, at base+asked
+	holder   atomic.Pointer[Holder]
+	heard    atomic.Int64  // of the term, from the state service, at base+heard
+	promised promise       // to another node
+	token    atomic.Uint64 // of the term that this node holds, as raised since
 
 	// AllPromise asks all other nodes for a promise; nil means that there are
 	// none to be had.
@@ -75,8 +75,8 @@
 	k := &Keeper{node: node, life: rand.Text(), store: store, timing: timing, base: now}
 	// An earlier life of this node may have promised something just before
 	// its end. Nobody remembers, so that this one waits it out.
-	k.vow.until = now.Add(timing.Lease)
-	k.vow.fromEarlier = true
+	k.promised.until = now.Add(timing.Lease)
+	k.promised.fromEarlier = true
 	return k
 }
 
@@ -128,7 +128,7 @@
 		}
 		k.holder.Store(holder)
 		k.listened(asked)
-		k.vow.know(token)
+		k.promised.know(token)
 		// Our own key from an earlier life is free to take: its holder is gone.
 		own := holder != nil && holder.Node == k.node
 		if holder != nil && !own {
@@ -136,7 +136,7 @@
 			continue
 		}
 		now := time.Now()
-		if left := max(standDown.Sub(now), k.vow.left(now, own || tokenMark == 0)); left > 0 {
+		if left := max(standDown.Sub(now), k.promised.left(now, own || tokenMark == 0)); left > 0 {
 			k.follow(ctx, rev, min(left, k.timing.WatchWait))
 			continue
 		}
@@ -198,7 +198,7 @@
 	h := Holder{Node: k.node, Life: k.life, Token: token + 1}
 	value, _ := json.Marshal(h)
 	next, _ := json.Marshal(h.Token)
-	if !k.vow.campaign(time.Now(), first, token) {
+	if !k.promised.campaign(time.Now(), first, token) {
 		_ = k.store.Revoke(ctx, lease)
 		return Term{}, 0, sent, errors.New("promised not to")
 	}
@@ -206,10 +206,10 @@
 		[]state.Guard{{Key: HolderKey, Mark: mark}, {Key: TokenKey, Mark: tokenMark}},
 		[]state.Write{{Set: HolderKey, Value: value, Lease: lease}, {Set: TokenKey, Value: next}})
 	if !errors.Is(err, state.ErrUnknown) {
-		k.vow.settled()
+		k.promised.settled()
 	}
 	if err == nil && len(failed) == 0 {
-		k.vow.know(h.Token)
+		k.promised.know(h.Token)
 		return Term{Token: h.Token, Mark: rev, TokenMark: rev, Since: time.Now()}, lease, sent, nil
 	}
 	// An unknown outcome is not pursued: should the transaction be applied
@@ -322,7 +322,7 @@
 	}
 }
 
-// Promise decides whether this node vows not to take the term for the time of
+// Promise decides whether this node promises not to take the term for the time of
 // one lease, as the term's holder asks. It does so only while the state service
 // does not answer it either: otherwise the holder's trouble is its own.
 func (k *Keeper) Promise(ctx context.Context, token uint64) bool {
@@ -334,7 +334,7 @@
 	if _, _, err := k.store.Get(ctx, HolderKey); err == nil || errors.Is(err, state.ErrBusy) {
 		return false // a service that is only busy still takes cancellations
 	}
-	if !k.vow.promise(time.Now(), k.timing.Lease, token) {
+	if !k.promised.give(time.Now(), k.timing.Lease, token) {
 		return false
 	}
 	if h := k.holder.Load(); h != nil && h.Token <= token {
