--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -110,10 +110,9 @@
 	defer func() { l.fleetTook = time.Since(now) }()
 	var back []*machine
 	for _, m := range l.machines {
-		boot := l.bootTime(m.typ)
 		switch {
 		case m.phase == returning:
-		case m.phase == booting && now.Sub(m.known) > times(boot, l.Settings.Operator.LateBoots):
+		case m.phase == booting && now.Sub(m.known) > times(l.bootTime(m.typ), l.Settings.Operator.LateBoots):
 			slog.Info("machine never came up", "machine", m.id, "term", l.token)
 			back = append(back, m)
 		case m.phase == up && !m.noticeUntil.IsZero() && now.After(m.noticeUntil) && !m.reported.After(m.noticeUntil):
@@ -145,6 +144,10 @@
 	if l.chartersOut >= l.Derived.ChartersOut {
 		return
 	}
+	needs := l.needs(now)
+	if len(needs) == 0 {
+		return
+	}
 	have := map[fleet.Kind]int{}
 	coming := map[fleet.Kind]int{}
 	for _, m := range l.machines {
@@ -160,7 +163,6 @@
 		have[k] += n
 		coming[k] += n // on its way, though not in the books yet
 	}
-	needs := l.needs(now)
 	plan := fleet.Plan(needs, coming, fleet.Market{
 		Types: l.Catalog(),
 		Have:  have,
@@ -189,8 +191,11 @@
 			queue = append(queue, fleet.Waiting{Spec: s, Count: d.Count, RunS: l.runS(s), DueS: l.Settings.Operator.DueShare * l.timeLeft(d.Job)})
 		}
 	}
-	late := fleet.Late(l.rooms(now), queue)
-	short := l.shortfall(now)
+	var late []int
+	short := 0.0
+	if len(queue) > 0 { // services are rented for at once
+		late, short = fleet.Late(l.rooms(now), queue), l.shortfall(now)
+	}
 	var needs []fleet.Need
 	for _, d := range l.unmet {
 		n := d.Count
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -177,6 +177,7 @@
 	book      book
 	flushedAt time.Time
 
+	turn      int // of the ticks in a beat
 	shelves   placement.Shelves
 	ranks     [8]int // tasks on machines, by priority
 	queued    map[*job]bool
@@ -211,6 +212,10 @@
 	wait  time.Duration
 }
 
+// ticksABeat is how many ticks there are in a beat. What need not be looked at in each,
+// of thousands of machines, has its turn in one of them.
+const ticksABeat = 8
+
 // smallZone is the size of a zone that the operators' gap between verdicts is for.
 const smallZone = 20
 
@@ -264,7 +269,7 @@
 }
 
 func (l *Leader) run(ctx context.Context) {
-	tick := time.NewTicker(l.Derived.Beat / 8)
+	tick := time.NewTicker(l.Derived.Beat / ticksABeat)
 	defer tick.Stop()
 	for {
 		select {
--- a/internal/control/model.go
+++ b/internal/control/model.go
@@ -3,6 +3,7 @@
 package control
 
 import (
+	"hash/fnv"
 	"slices"
 	"time"
 
@@ -185,6 +186,7 @@
 	slowness            float64 // odds that it is slow by the tasks that ran on it, as a logarithm
 	noticeUntil         time.Time
 	known               time.Time // when this leader learnt of it
+	turn                int       // the tick of a beat in which it is looked at
 	idleSince           time.Time
 	poked               bool // has something to be told at once
 	orderBusy           bool
@@ -224,8 +226,10 @@
 }
 
 func newMachine(id string, now time.Time) *machine {
+	sum := fnv.New32a()
+	_, _ = sum.Write([]byte(id))
 	return &machine{
-		id: id, known: now, idleSince: now,
+		id: id, known: now, idleSince: now, turn: int(sum.Sum32() % ticksABeat),
 		assigned: map[uint64]*assignment{}, avoid: map[string]time.Time{}, failures: map[string]bool{}, ordered: map[ref]uint64{},
 		offer: &placement.Machine{ID: id, Images: map[string]bool{}, Fetching: map[string]float64{}, Avoid: map[string]bool{}},
 	}
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -185,13 +185,17 @@
 	}
 	l.expire(now)
 	l.doubts(now)
+	l.turn = (l.turn + 1) % ticksABeat
 	for _, m := range l.machines {
+		if m.turn != l.turn {
+			continue
+		}
 		l.shelve(m, now) // what has fallen silent takes no work
 		if m.unshun(now) {
 			l.replan = true
 		}
 	}
-	if l.mayBegin(now) {
+	if l.turn == 0 && l.mayBegin(now) {
 		l.findSlow(now)
 	}
 	calls, verdicts := l.watch.Tick(now, l.Derived.OrdersOut-l.callsOut)
--- a/internal/control/scale_test.go
+++ b/internal/control/scale_test.go
@@ -126,6 +126,23 @@
 	}
 }
 
+// A tick in which nothing waits and nothing has happened sets no memory aside for any
+// machine, in a beat in which each has its turn.
+func TestWorkPerTick(t *testing.T) {
+	cost := func(size int) float64 {
+		l, _, now := fleetOf(t, size)
+		l.Publish = func(map[string]jobs.Counts) {}
+		l.unmet, l.shownAt = nil, now
+		return testing.AllocsPerRun(3*ticksABeat, func() {
+			l.fleetAt = time.Time{}
+			l.tick(t.Context(), now)
+		})
+	}
+	if few, many := cost(25), cost(largest); many > few+5 {
+		t.Errorf("%v allocations a tick in a fleet of 25, %v in one of %d", few, many, largest)
+	}
+}
+
 // BenchmarkTick looks after all machines while nothing happens, a fleet that is
 // planned for anew among it.
 func BenchmarkTick(b *testing.B) {
