--- a/internal/control/scale_test.go
+++ b/internal/control/scale_test.go
@@ -110,6 +110,21 @@
 	}
 }
 
+// BenchmarkPlanFull plans for a hundred jobs that wait for room on full machines.
+func BenchmarkPlanFull(b *testing.B) {
+	l, _, now := fleetOf(b, 400)
+	for i := range 100 {
+		s := &jobs.Spec{ID: fmt.Sprintf("j-1%03d", i), Class: "sums", Team: "red", Shape: jobs.Batch, Priority: []string{jobs.Standard, jobs.BestEffort}[i%2], Tasks: 25, CPUs: 1, RAMGB: 3, EstimateS: 30, Spot: true, Image: fmt.Sprintf("img-%d", i%14)}
+		j := newJob(s.ID, s, uint64(i+2), 0, now)
+		l.jobs[j.id] = j
+		l.queue(j)
+	}
+	for b.Loop() {
+		l.uncovered = true
+		l.place(now)
+	}
+}
+
 // BenchmarkPlanGang looks for room for a gang of 16 in three zones in vain, and for
 // work that could make room for it.
 func BenchmarkPlanGang(b *testing.B) {
--- a/internal/placement/shelves.go
+++ b/internal/placement/shelves.go
@@ -1,8 +1,6 @@
 package placement
 
 import (
-	"cmp"
-
 	"github.com/google/btree"
 )
 
@@ -41,18 +39,22 @@
 	typ, zone string
 	spot      bool
 	machines  *btree.BTreeG[*Machine]
+	pivot     Machine // where a search begins
 }
 
 // degree of the trees: a node fills a few cache lines.
 const degree = 16
 
 func fuller(a, b *Machine) bool {
-	return cmp.Or(
-		cmp.Compare(a.Free.CPUs, b.Free.CPUs),
-		cmp.Compare(a.Free.RAMGB, b.Free.RAMGB),
-		cmp.Compare(a.Free.GPUs, b.Free.GPUs),
-		cmp.Compare(a.ID, b.ID),
-	) < 0
+	switch {
+	case a.Free.CPUs != b.Free.CPUs:
+		return a.Free.CPUs < b.Free.CPUs
+	case a.Free.RAMGB != b.Free.RAMGB:
+		return a.Free.RAMGB < b.Free.RAMGB
+	case a.Free.GPUs != b.Free.GPUs:
+		return a.Free.GPUs < b.Free.GPUs
+	}
+	return a.ID < b.ID
 }
 
 // Put adds a machine and returns true, or does nothing if it is there.
@@ -66,7 +68,7 @@
 		}
 	}
 	if m.on == nil {
-		m.on = &shelf{m.Type, m.Zone, m.Spot, btree.NewG(degree, fuller)}
+		m.on = &shelf{typ: m.Type, zone: m.Zone, spot: m.Spot, machines: btree.NewG(degree, fuller)}
 		s.kinds = append(s.kinds, m.on)
 	}
 	m.on.machines.ReplaceOrInsert(m)
@@ -95,7 +97,12 @@
 // from goes through the machines that may have room, the fullest first, while
 // next says so.
 func (s *shelf) from(need Amount, next func(*Machine) bool) {
-	s.machines.AscendGreaterOrEqual(&Machine{Free: Amount{CPUs: need.CPUs - slack}}, next)
+	least := need.CPUs - slack
+	if roomiest, ok := s.machines.Max(); !ok || roomiest.Free.CPUs < least {
+		return // mostly all are full
+	}
+	s.pivot.Free.CPUs = least
+	s.machines.AscendGreaterOrEqual(&s.pivot, next)
 }
 
 func (s *shelf) all(each func(*Machine)) {
