--- a/internal/node/meetings_test.go
+++ b/internal/node/meetings_test.go
@@ -335,7 +335,6 @@
 		})
 		before := c.world.State.Requests("/commit")
 		u := newUsers(c)
-		r := c.rand()
 		var all []*jobs.Spec
 		for i := range 10 {
 			s := batch(fmt.Sprintf("j-%d", i+1), 3, float64(4+2*i))
@@ -344,7 +343,7 @@
 			if i%4 == 2 {
 				h.cancelAfter = 25 * time.Second
 			}
-			u.job(r, s, h)
+			u.job(c.rand(), s, h)
 			c.run(2 * time.Second)
 			if i%5 == 4 {
 				c.nextLeader()
