A higher token is shown only where something waits for it

Change: answers and orders to a machine carry the token that it knows, unless an order is in doubt, a task that ended there may begin again, or eight ends wait. Proofs stay: an end is cleared, and an order in doubt settled, by a token above the order's only.

--- a/internal/control/model.go
+++ b/internal/control/model.go
@@ -173,6 +173,7 @@
 	seq                 uint64
 	lastReport          liveness.Counter // newest report, answers to calls aside
 	token               uint64           // highest the worker has shown
+	wantsToken          bool             // a higher one, if there is one: see tokenFor
 	picture             []workers.Task
 	reported            time.Time // when its last report came
 	leaseUntil          time.Time // by then a worker unheard has ended its tasks
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -60,16 +60,17 @@
 			continue
 		}
 		calls := l.calls(m, false)
-		if len(calls) == 0 && m.token >= l.token {
+		token := l.tokenFor(m)
+		if len(calls) == 0 && m.token >= token {
 			continue
 		}
 		l.ordersOut++
 		m.orderBusy = true
 		l.watch.Called(m.id)
-		order := workers.Order{Token: l.token, Session: m.session, Calls: calls}
+		order := workers.Order{Token: token, Session: m.session, Calls: calls}
 		for _, c := range calls {
 			if c.Op == workers.OpRun {
-				m.ordered[ref{c.Task, c.Attempt}] = l.token
+				m.ordered[ref{c.Task, c.Attempt}] = token
 			}
 		}
 		go func() {
--- a/internal/control/tasks.go
+++ b/internal/control/tasks.go
@@ -371,7 +371,7 @@
 		// Sent before the worker heard of this term, or a copy of such a report
 		// that was under way for any length of time. It proves nothing; the
 		// answer brings the token, and with it a report that does.
-		return &workers.Answer{Token: l.token, Calls: []workers.Call{}}
+		return &workers.Answer{Token: l.term.Token, Calls: []workers.Call{}}
 	}
 	if m == nil {
 		m = newMachine(r.Machine, now)
@@ -394,7 +394,7 @@
 	l.shelve(m, now)
 	calls := l.calls(m, true)
 	m.told = calls
-	return &workers.Answer{Token: l.token, Calls: calls}
+	return &workers.Answer{Token: l.tokenFor(m), Calls: calls}
 }
 
 // mayStartCancelled tells whether an order on its way may still begin a task whose job
@@ -477,6 +477,7 @@
 			calls = append(calls, workers.Call{Op: workers.OpRun, Task: a.name(), Attempt: a.onWire()})
 		}
 	}
+	var held heldEnds
 	for _, t := range m.picture {
 		if m.find(refOf(&t)) != nil {
 			continue // its end is not durable yet
@@ -485,11 +486,13 @@
 		case t.State != workers.Ended:
 			calls = append(calls, stopCall(t.Task, t.Attempt, 0))
 		case m.ordered[refOf(&t)] >= m.token:
-			l.clearHeld = true
+			held.add(&t, m.ordered[refOf(&t)], l.mayRunAgain(&t))
 		case answer:
 			calls = append(calls, workers.Call{Op: workers.OpClear, Task: t.Task, Attempt: t.Attempt})
 		}
 	}
+	m.wantsToken = held.wantToken()
+	l.clearHeld = l.clearHeld || m.wantsToken && held.newest >= l.token
 	return calls
 }
 
--- /dev/null
+++ b/internal/control/token_test.go
@@ -0,0 +1,73 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+
+	"ospreyslip/internal/workers"
+)
+
+// A raised token makes each worker that sees it report once more. It is shown where
+// something waits for it only: several ended tasks that were begun by orders, an ended
+// task that is to begin again, or an order in doubt. With it, what waited is cleared.
+func TestTokenByNeed(t *testing.T) {
+	l, reports, now := fleetOf(t, 4)
+	endedByOrder := func(r *workers.Report, tasks int, cause string) {
+		for i := range tasks {
+			task := workers.Task{Task: fmt.Sprintf("j-7/%d", 50+i), Attempt: uint64(9000 + i), State: workers.Ended, Cause: cause}
+			l.machines.byID[r.Machine].ordered[refOf(&task)] = l.token
+			r.Tasks = append(r.Tasks, task)
+		}
+	}
+	few, many, again, doubt := reports[0], reports[1], reports[2], reports[3]
+	endedByOrder(few, mostHeldEnds-1, workers.CauseDone)
+	endedByOrder(many, mostHeldEnds, workers.CauseDone)
+	endedByOrder(again, 1, workers.CauseStopped)
+	l.machines.byID[doubt.Machine].doubtSince = now
+	answer := func(r *workers.Report) *workers.Answer {
+		r.Seq++
+		a := l.report(r, now)
+		if a == nil {
+			t.Fatalf("%s is not answered", r.Machine)
+		}
+		r.Token = a.Token
+		return a
+	}
+	cleared := func(a *workers.Answer) (n int) {
+		for _, c := range a.Calls {
+			if c.Op == workers.OpClear {
+				n++
+			}
+		}
+		return n
+	}
+	for _, r := range reports {
+		if a := answer(r); a.Token != 5 || cleared(a) > 0 {
+			t.Errorf("%s, before there is a higher token: %+v", r.Machine, a)
+		}
+	}
+	if !l.clearHeld {
+		t.Error("no higher token is asked for")
+	}
+	l.token = 6
+	for _, want := range []struct {
+		r     *workers.Report
+		token uint64
+		clear int
+	}{{few, 5, 0}, {many, 6, mostHeldEnds}, {again, 6, 1}, {doubt, 6, 0}} {
+		if a := answer(want.r); a.Token != want.token || cleared(a) > 0 {
+			t.Errorf("%s: token %d, %d cleared at once; want %d, none", want.r.Machine, a.Token, cleared(a), want.token)
+		}
+		if a := answer(want.r); cleared(a) != want.clear {
+			t.Errorf("%s: %d cleared under token %d, want %d", want.r.Machine, cleared(a), want.r.Token, want.clear)
+		}
+	}
+	// An order carries the token that its machine knows, and never one from before.
+	if got := l.tokenFor(l.machines.byID[few.Machine]); got != 5 {
+		t.Errorf("token %d where nothing waits, want 5", got)
+	}
+	l.term.Token, l.token = 7, 7
+	if got := l.tokenFor(l.machines.byID[few.Machine]); got != 7 {
+		t.Errorf("token %d, of an earlier term", got)
+	}
+}
