New jobs are refused when memory is short, settings when there is too little of it

Near its limit a process was killed, with all that it was doing. Now a node that holds more than 0.85 of its memory (what the runtime has of the system) answers new jobs with 503 and Retry-After; known ones, polls, cancellations, reports and renewals go on. Settings with fewer sockets or less memory than the parts need are refused with field and least value, connections are bounded by memory too, and check prints the budget, which adds up. Tests: a cluster short of memory; budgets of five hosts; three bad settings.

--- a/cmd/ospreyslip/main.go
+++ b/cmd/ospreyslip/main.go
@@ -15,7 +15,7 @@
 	"ospreyslip/internal/settings"
 )
 
-const version = "0.4.0"
+const version = "0.6.0"
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
@@ -63,7 +63,10 @@
 			if err != nil {
 				return err
 			}
-			return set.Derive().Print(cmd.OutOrStdout())
+			if err := set.Derive().Print(cmd.OutOrStdout()); err != nil {
+				return err
+			}
+			return set.Budget().Print(cmd.OutOrStdout())
 		},
 	})
 	cmd.AddCommand(statusCommand(load))
--- a/internal/jobs/api.go
+++ b/internal/jobs/api.go
@@ -31,6 +31,8 @@
 	Counts func(id string) (Counts, bool)
 	// Ready tells whether users should come to this node.
 	Ready func() bool
+	// Room tells whether there is memory for more jobs.
+	Room func() bool
 
 	slots chan struct{}
 }
@@ -139,15 +141,11 @@
 	}
 	if why := CanEverRun(spec, types, a.Settings); why != nil {
 		// A job accepted under an earlier catalog or team stays accepted.
-		rec, _, err := a.read(ctx, spec.ID)
-		switch {
-		case err != nil:
-			a.later(w, "state service does not answer")
-		case rec != nil:
-			reply(w, http.StatusOK, view{ID: spec.ID, Stance: a.stance(spec.ID, rec)})
-		default:
-			refuse(w, http.StatusUnprocessableEntity, why.Error())
-		}
+		a.ifNew(ctx, w, spec.ID, func() { refuse(w, http.StatusUnprocessableEntity, why.Error()) })
+		return
+	}
+	if !a.Room() {
+		a.ifNew(ctx, w, spec.ID, func() { a.later(w, "memory is short at this node") })
 		return
 	}
 	rec := Record{Stance: Queued, Tasks: spec.Tasks, Spec: spec, AtMs: time.Now().UnixMilli()}
@@ -183,6 +181,20 @@
 	})
 }
 
+// ifNew answers a submission of a known job with its state; what is done about a new one
+// is for the caller.
+func (a *API) ifNew(ctx context.Context, w http.ResponseWriter, id string, refuse func()) {
+	rec, _, err := a.read(ctx, id)
+	switch {
+	case err != nil:
+		a.later(w, "state service does not answer")
+	case rec != nil:
+		reply(w, http.StatusOK, view{ID: id, Stance: a.stance(id, rec)})
+	default:
+		refuse()
+	}
+}
+
 // retry tries again while there is time: a write whose outcome is unknown
 // meets its own record on the next try, so that trying again reads it back.
 func (a *API) retry(ctx context.Context, w http.ResponseWriter, try func() (bool, error)) {
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -38,6 +39,7 @@
 	nodes  map[string]*life
 	names  []string
 	drawn  uint64
+	memory atomic.Uint64 // what each node holds, in bytes
 	tweak  func(*settings.Settings)
 	adapt  func(*Node) // of nodes that are started from now on
 	duties sync.WaitGroup
@@ -123,6 +125,8 @@
 	n := New(c.settings(name), Wire{
 		HTTP: c.world.Net.From(name),
 		Dial: func(ctx context.Context, addr string) (net.Conn, error) { return c.world.Net.Dial(ctx, name, addr) },
+		// All nodes of all tests are one process: what it holds says nothing of a node.
+		Memory: c.memory.Load,
 	})
 	if c.adapt != nil {
 		c.adapt(n)
--- /dev/null
+++ b/internal/node/memory_test.go
@@ -0,0 +1,63 @@
+package node
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"ospreyslip/internal/standin"
+)
+
+// Near its memory limit a node takes no new jobs, and says at once when to come back.
+// All else goes on: polls, submissions of known jobs, cancellations, and the work.
+func TestMemoryShort(t *testing.T) {
+	inCluster(t, nil, func(c *cluster) {
+		c.allUp()
+		c.submit("perch-0", batch("j-3", 2, 30))
+		c.submit("perch-0", batch("j-4", 2, 300))
+		c.memory.Store(1 << 40)
+		c.run(2 * time.Second)
+		began := time.Now()
+		for _, n := range c.names {
+			if status, _ := c.ask("POST", n, "/v1/jobs", asUser(batch("j-5", 2, 30))); status != http.StatusServiceUnavailable {
+				t.Errorf("%s answers a new job with %d", n, status)
+			}
+			if status, _ := c.ask("POST", n, "/v1/jobs", asUser(batch("j-3", 2, 30))); status != http.StatusOK {
+				t.Errorf("%s answers a known job with %d", n, status)
+			}
+			if status, _ := c.ask("GET", n, "/v1/jobs/j-3", nil); status != http.StatusOK {
+				t.Errorf("%s answers a poll with %d", n, status)
+			}
+		}
+		if took := time.Since(began); took > 3*time.Second {
+			t.Errorf("answered after %v in all", took)
+		}
+		c.withdraw("perch-1", "j-4")
+		c.withinDone(60*time.Second, "j-3")
+		c.within(40*time.Second, "cancelled tasks are gone", func() bool { return c.on("j-4", 2) == 0 })
+		c.memory.Store(0)
+		c.run(2 * time.Second)
+		c.submit("perch-2", batch("j-5", 2, 30))
+		c.withinDone(60*time.Second, "j-5")
+	})
+}
+
+// A refusal for want of memory tells when to come back.
+func TestMemoryShortRetryAfter(t *testing.T) {
+	c := &cluster{t: t, names: []string{"perch-0"}}
+	net := standin.NewNet()
+	net.Attach("state", "10.2.0.1:1", standin.NewState())
+	n := New(c.settings("perch-0"), Wire{HTTP: net.From("perch-0"), Memory: func() uint64 { return 0 }})
+	n.catalog.Store(&testTypes)
+	n.memory.short.Store(true)
+	body, _ := json.Marshal(asUser(batch("j-1", 1, 10)))
+	rec := httptest.NewRecorder()
+	n.Handler().ServeHTTP(rec, httptest.NewRequest(http.MethodPost, "/v1/jobs", bytes.NewReader(body)))
+	if rec.Code != http.StatusServiceUnavailable || rec.Header().Get("Retry-After") == "" || !strings.Contains(rec.Body.String(), "memory") {
+		t.Errorf("%d %v %s", rec.Code, rec.Header(), rec.Body)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -33,7 +33,6 @@
 	leaderWrites   = 0.64
 	leaderRequests = 0.5
 	cloudShare     = 0.8
-	memoryShare    = 0.7
 	// collectAt is by how many percent the heap may grow between two collections:
 	// memory, within its limit, is cheaper here than processor time.
 	collectAt = 300
@@ -52,6 +51,7 @@
 	counts  *control.Counts
 	hub     *peer.Hub
 	debug   *handed
+	memory  *memoryGauge
 	born    time.Time
 	served  atomic.Int64 // when, since born, the leader last said that the state service answers it
 	heard   atomic.Int64 // when, since born, a leader was last heard of, this node included
@@ -65,6 +65,7 @@
 	HTTP   http.RoundTripper
 	Dial   peer.Dial
 	Listen func(addr string) (net.Listener, error)
+	Memory func() uint64 // what this process holds, in bytes
 }
 
 // New makes a node from checked settings.
@@ -85,13 +86,17 @@
 	}
 	n := &Node{set: set, d: d, listenForUsers: users, listenForPeers: cluster, born: time.Now(), counts: control.NewCounts(), gate: &control.Gate{}}
 	n.workers = workers.NewClient(pick(2, d.WorkerConns), d.CallWait)
-	n.store = state.New(set.Endpoints.State, pick(16, 0), d.StateWait, n.budget(false))
+	n.store = state.New(set.Endpoints.State, pick(d.StateConns, 0), d.StateWait, n.budget(false))
 	n.cache = jobs.NewCache(n.store, d.PollGap, d.Cancel/4, d.CancelsKept)
 	n.keeper = term.NewKeeper(set.Node, n.store, term.Timing{
 		Lease: d.TermLease, Renew: d.TermRenew, Safe: d.TermSafe, WatchWait: d.WatchWait, Retry: d.TermRenew,
 	})
 	n.hub = peer.NewHub(set.Node, set.Peers, w.Dial, d.TermRenew)
 	n.debug = newHanded()
+	if w.Memory == nil {
+		w.Memory = heldBytes
+	}
+	n.memory = &memoryGauge{most: uint64(d.RefuseBytes), held: w.Memory}
 	n.hub.HTTP = n.debug.take
 	n.hub.Promise = n.promise
 	n.hub.Progress = func(from string, p peer.Progress) {
@@ -107,7 +112,7 @@
 	if len(set.Peers) == set.Deployment.Nodes-1 {
 		n.keeper.AllPromise = n.allPromise
 	}
-	n.cloud = fleet.NewCloud(set.Endpoints.Cloud, pick(4, 0), d.CloudWait, set.Deployment.Cloud.RPS*cloudShare)
+	n.cloud = fleet.NewCloud(set.Endpoints.Cloud, pick(d.CloudConns, 0), d.CloudWait, set.Deployment.Cloud.RPS*cloudShare)
 	return n
 }
 
@@ -116,7 +121,7 @@
 	// One thread at a time is all that a share of a core can use.
 	runtime.GOMAXPROCS(1)
 	debug.SetGCPercent(collectAt)
-	debug.SetMemoryLimit(int64(memoryShare * float64(n.d.MemoryBytes)))
+	debug.SetMemoryLimit(n.d.CollectBytes)
 
 	ln, err := n.listenForUsers(n.set.Listen)
 	if err != nil {
@@ -157,7 +162,7 @@
 // Handler serves users and workers.
 func (n *Node) Handler() http.Handler {
 	mux := http.NewServeMux()
-	users := &jobs.API{Settings: n.set, Derived: n.d, Store: n.store, Cache: n.cache, Catalog: n.types, Counts: n.counts.Get, Ready: n.ready}
+	users := &jobs.API{Settings: n.set, Derived: n.d, Store: n.store, Cache: n.cache, Catalog: n.types, Counts: n.counts.Get, Ready: n.ready, Room: n.memory.room}
 	users.Register(mux)
 	reports := &workers.Handler{Answer: n.gate.Report, Leader: func() string {
 		if l := n.keeper.Leader(); l != n.set.Node {
@@ -180,6 +185,7 @@
 	duties.Go(func() { n.serveDebug(ctx) })
 	duties.Go(func() { n.keepCatalog(ctx) })
 	duties.Go(func() { n.cache.Run(ctx) })
+	duties.Go(func() { n.memory.watch(ctx, n.d.TermRenew) })
 	duties.Go(func() {
 		n.keeper.Run(ctx, func(ctx context.Context, t term.Term) {
 			n.store.SetBudget(n.budget(true))
--- a/internal/settings/derived.go
+++ b/internal/settings/derived.go
@@ -51,13 +51,18 @@
 	BeginBy     time.Duration // a job that got nothing for so long goes first
 	Lasting     time.Duration // a start counts if the task is not stopped for so long
 
-	TxnOps      int
-	ValueBytes  int
-	ChunkTasks  int // tasks whose completions are kept together
-	MemoryBytes int64
+	TxnOps     int
+	ValueBytes int
+	ChunkTasks int // tasks whose completions are kept together
+	// CollectBytes is how much memory is held before garbage is collected harder, and
+	// RefuseBytes how much before new jobs are refused.
+	CollectBytes, RefuseBytes int64
+
 	ServedConns int           // of users and workers
 	IdleConns   time.Duration // how long one of these is kept without a request
 	WorkerConns int           // kept open to workers while idle
+	StateConns  int           // to the state service, kept while idle
+	CloudConns  int
 	GangPeer    time.Duration // within it all tasks of a gang must hear of its stop
 	OrdersOut   int           // orders on their way at a time, and as many calls
 	UserQueue   int
@@ -140,15 +145,18 @@
 		ValueBytes: value,
 		// As text, a twenty-fourth of a value. It is the layout of what is stored, so
 		// that limits to come must not change it.
-		ChunkTasks:  max(64, int(d.State.ValueKB*1024)/4/64*64),
-		MemoryBytes: int64(d.Limits.MemoryMB * (1 << 20)),
-		// A sixteenth of the sockets is left over: for the state service,
-		// the cloud, the other controllers and whatever is being closed.
-		ServedConns: d.Limits.MaxSockets * 13 / 16,
+		ChunkTasks: max(64, int(d.State.ValueKB*1024)/4/64*64),
+
+		CollectBytes: int64(collectShare * d.Limits.MemoryMB * (1 << 20)),
+		RefuseBytes:  int64(refuseShare * d.Limits.MemoryMB * (1 << 20)),
+
+		ServedConns: d.Limits.servedConns(),
 		// Users poll and workers report several times in it.
 		IdleConns:   max(times(report, s.Operator.SilentReports), cancel/2),
-		WorkerConns: max(8, d.Limits.MaxSockets/16),
-		OrdersOut:   max(4, d.Limits.MaxSockets/32),
+		WorkerConns: max(leastIdle, d.Limits.MaxSockets/16),
+		StateConns:  min(max(leastState, d.Limits.MaxSockets/64), mostState),
+		CloudConns:  cloudConns,
+		OrdersOut:   max(leastOrders, d.Limits.MaxSockets/32),
 		UserQueue:   max(8, d.Limits.MaxSockets/16),
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -226,8 +226,8 @@
 	positive("deployment.cloud.rps", d.Cloud.RPS)
 	positive("deployment.cloud.list_lag_s", d.Cloud.ListLagS)
 	positive("deployment.machine_limits.memory_mb", d.Limits.MemoryMB)
-	if d.Limits.MaxSockets < 16 {
-		bad("deployment.machine_limits.max_sockets must be at least 16, is %d", d.Limits.MaxSockets)
+	if d.Limits.MemoryMB > 0 {
+		s.checkLimits(bad)
 	}
 	if d.Workers.CancelS <= d.Workers.LeaseS {
 		bad("deployment.workers.cancel_s (%v) must exceed lease_s (%v)", d.Workers.CancelS, d.Workers.LeaseS)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -27,6 +27,9 @@
 		{"limits to come", "txn_ops = 12", "txn_ops = 12\n[deployment.state.next]\nvalue_kb = 2.0\nmore = 1", ""},
 		{"a value to come of no size", "txn_ops = 12", "txn_ops = 12\n[deployment.state.next]\nvalue_kb = 0.0", "deployment.state.next.value_kb must be a finite number above 0, is 0"},
 		{"transactions to come too small", "txn_ops = 12", "txn_ops = 12\n[deployment.state.next]\ntxn_ops = 3", "deployment.state.next.txn_ops must be at least 4, is 3"},
+		{"too little memory", "memory_mb = 200.0", "memory_mb = 12.0", "deployment.machine_limits.memory_mb must be at least 25, is 12"},
+		{"hardly enough memory", "memory_mb = 200.0", "memory_mb = 25.0", ""},
+		{"too few sockets", "max_sockets = 1000", "max_sockets = 64", "deployment.machine_limits.max_sockets must be at least 150, is 64"},
 		{"itself as a peer", `node_name = "perch-1"`, `node_name = "perch-0"`, "peers[0].node_name"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -124,3 +127,25 @@
 		}
 	}
 }
+
+// The parts of a budget add up to the limits, and no part is below nothing.
+func TestBudgetAddsUp(t *testing.T) {
+	for _, limits := range []Limits{{MemoryMB: 65, MaxSockets: 1000}, {MemoryMB: 212, MaxSockets: 5000}, {MemoryMB: 322, MaxSockets: 3163}, {MemoryMB: 25, MaxSockets: 5000}, {MemoryMB: 1000, MaxSockets: 300}} {
+		s := Settings{Operator: DefaultOperator(), Peers: make([]Peer, 4), Deployment: Deployment{Workers: Workers{ReportS: 2, LeaseS: 20, CancelS: 40}, State: State{RPS: 100, WriteRPS: 50, ValueKB: 32, TxnOps: 12}, Cloud: Cloud{RPS: 5, ListLagS: 5}, Limits: limits}}
+		if !s.fits(limits) {
+			t.Errorf("%+v is refused", limits)
+		}
+		b := s.Budget()
+		if got := sum(b.Sockets); got != int64(limits.MaxSockets) {
+			t.Errorf("%+v: %d sockets", limits, got)
+		}
+		if got := sum(b.Memory); got != int64(limits.MemoryMB*(1<<20)) {
+			t.Errorf("%+v: %d bytes", limits, got)
+		}
+		for _, u := range append(b.Sockets, b.Memory...) {
+			if u.Amount < 0 {
+				t.Errorf("%+v: %d for %s", limits, u.Amount, u.For)
+			}
+		}
+	}
+}
