Renewals of the term overlap, and may take as long as they count

One that took longer than two periods (0.9 s) was given up though its answer came in time, and the next waited for it. Change: up to five are under way, each is waited for as long as it would count, and what holds the term for longest counts.

--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -277,10 +277,9 @@
 }
 
 // Renew gives a lease its full time again. It passes by the node's own request
-// budget: nothing else is worth sending when the term is lost.
+// budget: nothing else is worth sending when the term is lost. How long it may take is
+// for the caller.
 func (c *Client) Renew(ctx context.Context, lease uint64) error {
-	ctx, cancel := context.WithTimeout(ctx, c.wait)
-	defer cancel()
 	status, err := c.send(ctx, http.MethodPost, "/grants/"+strconv.FormatUint(lease, 10)+"/renew", nil, nil)
 	switch {
 	case err != nil:
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -221,6 +221,10 @@
 	return Term{}, 0, sent, errors.Join(err, fmt.Errorf("guards failed: %v", failed))
 }
 
+// mostRenewals is how many renewals may be without an answer at a time: as many as are
+// begun while one counts. With fewer, slow answers would leave gaps.
+const mostRenewals = 5
+
 // resigned is why a term ends when lead returns by itself.
 const resigned = "resigned"
 
@@ -262,8 +266,8 @@
 		sent time.Time
 		err  error
 	}
-	renewals, promises := make(chan outcome, 1), make(chan outcome, 1)
-	renewing, asking := false, false
+	renewals, promises := make(chan outcome, mostRenewals), make(chan outcome, 1)
+	renewing, asking := 0, false
 	good := time.Now()
 	tried, asked := good, good // a refusal comes at once, and must not be asked for again at once
 	for {
@@ -273,11 +277,12 @@
 		case <-done:
 			return resigned
 		case o := <-renewals:
-			renewing = false
+			renewing--
 			switch {
-			case o.err == nil:
+			case o.err == nil && o.sent.After(good):
 				good = o.sent
 				k.extend(o.sent)
+			case o.err == nil: // one that was sent later has been answered already
 			case errors.Is(o.err, state.ErrNoLease):
 				return "lease ended"
 			default:
@@ -298,11 +303,13 @@
 		if left <= 0 {
 			return "neither renewed nor promised"
 		}
-		// A try may not outlast the term, so that its end is noticed in time.
-		if !renewing && now.Sub(tried) >= k.timing.Renew*9/10 {
-			renewing, tried = true, now
+		// On a busy processor an answer may take most of the time for which it counts: the
+		// next try does not wait for it, and it is not given up with those before.
+		if renewing < mostRenewals && now.Sub(tried) >= k.timing.Renew*9/10 {
+			renewing++
+			tried = now
 			go func() {
-				try, cancel := context.WithTimeout(ctx, min(left, 2*k.timing.Renew))
+				try, cancel := context.WithTimeout(ctx, k.timing.Safe)
 				defer cancel()
 				renewals <- outcome{now, k.store.Renew(try, lease)}
 			}()
@@ -343,8 +350,10 @@
 	return true
 }
 
+// extend takes in that a renewal, or the promises, asked for at a moment hold. What came
+// before may hold for longer.
 func (k *Keeper) extend(sent time.Time) {
-	k.until.Store(int64(sent.Add(k.timing.Safe).Sub(k.base)))
+	k.until.Store(max(k.until.Load(), int64(sent.Add(k.timing.Safe).Sub(k.base))))
 }
 
 // pause spreads the tries of several nodes.
--- a/internal/term/term_test.go
+++ b/internal/term/term_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -146,3 +147,34 @@
 		world.Wait()
 	})
 }
+
+// On a starved processor, or with a slow state service, the answer to a renewal may take
+// most of the term. The next renewal does not wait for it, and each that is answered counts
+// from when it was sent: the term is kept.
+func TestSlowRenewals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		world, store := standin.NewNet(), standin.NewState()
+		world.Attach("state", "state:1", store)
+		never := func(context.Context, uint64) bool { return false }
+		k, terms, stop := keep(t, world, "perch-0", never)
+		time.Sleep(time.Second)
+		world.Lateness = timing.Safe * 7 / 10
+		world.Faults(func(_, _, path string) standin.Fault {
+			if strings.HasSuffix(path, "/renew") {
+				return standin.Slow
+			}
+			return standin.Deliver
+		})
+		for range 200 {
+			time.Sleep(100 * time.Millisecond)
+			if !k.Valid() {
+				t.Fatal("the term is lost though each renewal is answered in time")
+			}
+		}
+		if got := terms(); len(got) != 1 {
+			t.Errorf("terms: %v", got)
+		}
+		stop()
+		world.Wait()
+	})
+}
