Placement by duty: amounts, quota, queue, fitting, preemption; an index by free capacity

No behaviour changes. placement.go (603 lines) is parted into files of one job each; shelves become the capacity index, sacrifices preemptions, turns queue entries.

--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -390,7 +390,7 @@
 			continue
 		}
 		m.phase = returning
-		l.shelves.Remove(m.offer)
+		l.capacity.Remove(m.offer)
 		l.returns = append(l.returns, m.id)
 	}
 	if len(l.returns) == 0 || l.returning {
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -180,7 +180,7 @@
 	flushedAt time.Time
 
 	turn      int // of the ticks in a beat
-	shelves   placement.Shelves
+	capacity  placement.CapacityIndex
 	ranks     [8]int // tasks on machines, by priority
 	queued    map[*job]bool
 	uncovered bool // which jobs are covered is to be found out anew
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -208,7 +208,7 @@
 	l.turn = (l.turn + 1) % ticksABeat
 	for m := range l.machines.groups[l.turn] {
 		l.announceLate(m, now)
-		l.shelve(m, now) // what has fallen silent takes no work
+		l.updateCapacity(m, now) // what has fallen silent takes no work
 		if m.unshun(now) {
 			l.replan = true
 		}
@@ -290,7 +290,7 @@
 		}
 	}
 	l.book.deaths = append(l.book.deaths, m.id)
-	l.shelve(m, now)
+	l.updateCapacity(m, now)
 	l.replan = true
 	if reason == liveness.CallFailed {
 		l.release(ctx, now, m)
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -262,7 +262,7 @@
 	if l.uncovered {
 		l.cover(now)
 	}
-	in := placement.Input{Teams: l.Settings.Deployment.Teams, Used: map[string]placement.Amount{}, Shelves: &l.shelves}
+	in := placement.Input{Teams: l.Settings.Deployment.Teams, Used: map[string]placement.Amount{}, Index: &l.capacity}
 	for team, a := range l.used {
 		in.Used[team] = a
 	}
@@ -413,7 +413,7 @@
 			}
 		}
 		m.draining = m.draining || !services
-		l.shelve(m, now)
+		l.updateCapacity(m, now)
 	}
 }
 
--- a/internal/control/tasks.go
+++ b/internal/control/tasks.go
@@ -25,13 +25,13 @@
 // setRoom notes what assignments take of a machine.
 func (l *Leader) setRoom(m *machine, room placement.Amount) {
 	m.room = room
-	l.shelves.Set(m.offer, m.offer.Total.Plus(room, -1))
+	l.capacity.Set(m.offer, m.offer.Total.Plus(room, -1))
 }
 
-// shelve offers a machine to placement while it takes work.
-func (l *Leader) shelve(m *machine, now time.Time) {
+// updateCapacity offers a machine to placement while it takes work.
+func (l *Leader) updateCapacity(m *machine, now time.Time) {
 	if !l.usable(m, now) {
-		l.shelves.Remove(m.offer)
+		l.capacity.Remove(m.offer)
 		return
 	}
 	if o := m.offer; o.Total == (placement.Amount{}) || o.Type != m.typ || o.Zone != m.zone || o.Spot != m.spot {
@@ -39,12 +39,12 @@
 		if t == nil {
 			return
 		}
-		l.shelves.Remove(o)
+		l.capacity.Remove(o)
 		o.Type, o.Zone, o.Spot = m.typ, m.zone, m.spot
 		o.Total, o.FetchGBPS = placement.Amount{CPUs: t.CPUs, GPUs: t.GPUs, RAMGB: t.RAMGB}, t.FetchGBPS
 		o.Free = o.Total.Plus(m.room, -1)
 	}
-	if l.shelves.Put(m.offer) {
+	if l.capacity.Put(m.offer) {
 		l.replan = true
 	}
 }
@@ -265,7 +265,7 @@
 		if len(m.failures) > 1 && !m.draining {
 			slog.Info("machine suspected", "machine", m.id, "term", l.token, "reason", "several jobs failed on it")
 			m.draining = true
-			l.shelves.Remove(m.offer)
+			l.capacity.Remove(m.offer)
 		}
 	default: // no_room, busy, unknown: refused, and worth another try soon
 		m.shun(j.id, now.Add(l.Derived.Report))
@@ -301,7 +301,7 @@
 		slog.Info("machine will be taken", "machine", m.id, "term", l.token, "inS", inS)
 	}
 	m.draining = true
-	l.shelves.Remove(m.offer)
+	l.capacity.Remove(m.offer)
 	m.noticeUntil = now.Add(time.Duration(inS * float64(time.Second)))
 	for _, a := range m.assigned {
 		if a.outcome != open || a.stop {
@@ -391,7 +391,7 @@
 	}
 	l.observe(m, r, now)
 	m.reported, m.orderFails = now, 0
-	l.shelve(m, now)
+	l.updateCapacity(m, now)
 	calls := l.calls(m, true)
 	m.told = calls
 	return &workers.Answer{Token: l.tokenFor(m), Calls: calls}
--- a/internal/placement/shelves.go
+++ b/internal/placement/capacity_index.go
@@ -19,7 +19,7 @@
 	Freeing Amount // of tasks told to stop
 	Tasks   []*Placed
 
-	on *shelf
+	on *kindIndex
 }
 
 // Placed is a task on a machine that could be stopped.
@@ -31,11 +31,12 @@
 	Overdue bool    // placed because its job had got nothing for too long
 }
 
-// Shelves hold the machines that take work, one shelf a kind, the fullest first:
-// the cost of finding a machine does not grow with the fleet.
-type Shelves struct{ kinds []*shelf }
+// CapacityIndex holds the machines that take work, ordered by their free resources: the
+// cost of finding a machine does not grow with the fleet.
+type CapacityIndex struct{ kinds []*kindIndex }
 
-type shelf struct {
+// kindIndex holds the machines of one type, zone and pricing model, the fullest first.
+type kindIndex struct {
 	typ, zone string
 	spot      bool
 	machines  *btree.BTreeG[*Machine]
@@ -58,7 +59,7 @@
 }
 
 // Put adds a machine and returns true, or does nothing if it is there.
-func (s *Shelves) Put(m *Machine) bool {
+func (s *CapacityIndex) Put(m *Machine) bool {
 	if m.on != nil {
 		return false
 	}
@@ -68,23 +69,23 @@
 		}
 	}
 	if m.on == nil {
-		m.on = &shelf{typ: m.Type, zone: m.Zone, spot: m.Spot, machines: btree.NewG(degree, fuller)}
+		m.on = &kindIndex{typ: m.Type, zone: m.Zone, spot: m.Spot, machines: btree.NewG(degree, fuller)}
 		s.kinds = append(s.kinds, m.on)
 	}
 	m.on.machines.ReplaceOrInsert(m)
 	return true
 }
 
-// Remove takes a machine off its shelf.
-func (s *Shelves) Remove(m *Machine) {
+// Remove drops a machine from the index.
+func (s *CapacityIndex) Remove(m *Machine) {
 	if m.on != nil {
 		m.on.machines.Delete(m)
 		m.on = nil
 	}
 }
 
-// Set changes what is free on a machine, whether or not it is on a shelf.
-func (s *Shelves) Set(m *Machine, free Amount) {
+// Set changes what is free on a machine, whether or not it is in the index.
+func (s *CapacityIndex) Set(m *Machine, free Amount) {
 	if m.on == nil {
 		m.Free = free
 		return
@@ -96,21 +97,22 @@
 
 // from goes through the machines that may have room, the fullest first, while
 // next says so.
-func (s *shelf) from(need Amount, next func(*Machine) bool) {
+func (k *kindIndex) from(need Amount, next func(*Machine) bool) {
 	least := need.CPUs - slack
-	if roomiest, ok := s.machines.Max(); !ok || roomiest.Free.CPUs < least {
+	if roomiest, ok := k.machines.Max(); !ok || roomiest.Free.CPUs < least {
 		return // mostly all are full
 	}
-	s.pivot.Free.CPUs = least
-	s.machines.AscendGreaterOrEqual(&s.pivot, next)
+	k.pivot.Free.CPUs = least
+	k.machines.AscendGreaterOrEqual(&k.pivot, next)
 }
 
-func (s *shelf) all(each func(*Machine)) {
-	s.machines.Ascend(func(m *Machine) bool { each(m); return true })
+// all goes through all machines, the fullest first.
+func (k *kindIndex) all(each func(*Machine)) {
+	k.machines.Ascend(func(m *Machine) bool { each(m); return true })
 }
 
 // roomiest returns the machine with most room of those that will do.
-func (s *Shelves) roomiest(will func(*Machine) bool) (best *Machine) {
+func (s *CapacityIndex) roomiest(will func(*Machine) bool) (best *Machine) {
 	for _, k := range s.kinds {
 		k.machines.Descend(func(m *Machine) bool {
 			if !will(m) {
--- a/internal/placement/gang.go
+++ b/internal/placement/gang.go
@@ -6,8 +6,8 @@
 	"ospreyslip/internal/jobs"
 )
 
-// allows tells whether a shelf is of a kind and in a zone for the job.
-func (in *Input) allows(j *Job, s *shelf) bool {
+// allows tells whether machines are of a kind and in a zone for the job.
+func (in *Input) allows(j *Job, s *kindIndex) bool {
 	return j.Spec.Allows(s.typ, s.zone, s.spot) && (in.only == "" || in.only == s.zone)
 }
 
@@ -25,7 +25,7 @@
 	if !s.OneZone {
 		return []string{""}
 	}
-	for _, k := range in.Shelves.kinds {
+	for _, k := range in.Index.kinds {
 		if s.Allows(k.typ, k.zone, k.spot) && !slices.Contains(zones, k.zone) {
 			zones = append(zones, k.zone)
 		}
@@ -38,7 +38,7 @@
 // all that do not, or none is placed. A gang that waits for room keeps none from
 // others but what is being made for it, and what it is owed when it has waited for
 // too long.
-func (in *Input) takeGang(t turn, out *Output) {
+func (in *Input) takeGang(t queueEntry, out *Output) {
 	j := t.Job
 	if j.held || j.Waiting == 0 || t.overdue && j.Overdue == 0 || in.roomInLimit(j, j.Waiting) < j.Waiting {
 		return
@@ -108,7 +108,7 @@
 }
 
 // placeGang places all tasks, for which there is room.
-func (in *Input) placeGang(t turn, zone string, out *Output) {
+func (in *Input) placeGang(t queueEntry, zone string, out *Output) {
 	j := t.Job
 	on, _ := in.fits(j, zone)
 	for _, m := range on {
@@ -154,7 +154,7 @@
 func (in *Input) willFit(j *Job, zone string) bool {
 	in.only = zone
 	need, n := Of(j.Spec), 0
-	for _, s := range in.Shelves.kinds {
+	for _, s := range in.Index.kinds {
 		if !in.allows(j, s) {
 			continue
 		}
@@ -194,7 +194,7 @@
 	on, _ := in.fits(j, zones[best])
 	left := j.Waiting - len(on)
 	for left > 0 {
-		m := in.Shelves.roomiest(func(m *Machine) bool {
+		m := in.Index.roomiest(func(m *Machine) bool {
 			_, taken := in.touched[m]
 			return !taken && m.Total.Fits(Of(j.Spec)) && m.open(j) && (in.only == "" || m.Zone == in.only)
 		})
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -36,7 +36,7 @@
 	j.Waiting--
 }
 
-// picture is an input whose machines are not on their shelves yet.
+// picture is an input whose machines are not in an index yet.
 type picture struct {
 	Input
 	Machines []*Machine
@@ -337,10 +337,10 @@
 		}, "j-2/0>a1 unmet j-2 3 unmet j-1 1"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			in := picture{Input: Input{Teams: teams, Used: map[string]Amount{}, Shelves: &Shelves{}, Least: 1}}
+			in := picture{Input: Input{Teams: teams, Used: map[string]Amount{}, Index: &CapacityIndex{}, Least: 1}}
 			tc.setup(&in)
 			for _, m := range in.Machines {
-				in.Shelves.Put(m)
+				in.Index.Put(m)
 			}
 			out := Plan(in.Input)
 			next := map[*Job]int{}
@@ -366,12 +366,12 @@
 	}
 }
 
-// A plan is a proposal: it leaves the shelves as they were.
+// A plan is a proposal: it leaves the index as it was.
 func TestPlanLeavesTheShelves(t *testing.T) {
 	m := box("a1", 4)
-	shelves := &Shelves{}
-	shelves.Put(m)
-	Plan(Input{Used: map[string]Amount{}, Shelves: shelves, Jobs: []*Job{job("j-1", 3, 1, nil)}})
+	index := &CapacityIndex{}
+	index.Put(m)
+	Plan(Input{Used: map[string]Amount{}, Index: index, Jobs: []*Job{job("j-1", 3, 1, nil)}})
 	if m.Free.CPUs != 4 {
 		t.Errorf("%v CPUs are free after a plan, not 4", m.Free.CPUs)
 	}
@@ -381,14 +381,14 @@
 // full, and they must not be looked at. Counted, not timed.
 func TestChoosingLooksAtFewMachines(t *testing.T) {
 	looked := func(machines int) (n int) {
-		shelves := &Shelves{}
+		index := &CapacityIndex{}
 		for i := range machines {
 			m := box(fmt.Sprintf("a%d", i), 0.5)
 			m.Avoid = nil
-			shelves.Put(m)
+			index.Put(m)
 		}
-		shelves.Put(box("b1", 4))
-		for _, k := range shelves.kinds {
+		index.Put(box("b1", 4))
+		for _, k := range index.kinds {
 			k.from(Amount{CPUs: 1}, func(*Machine) bool { n++; return true })
 		}
 		return n
--- /dev/null
+++ b/internal/placement/preemption.go
@@ -0,0 +1,173 @@
+package placement
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+
+	"ospreyslip/internal/jobs"
+	"ospreyslip/internal/settings"
+)
+
+// mayStop tells whether a task may be stopped to make room for j.
+func mayStop(in *Input, j *Job, p *Placed) bool {
+	v := p.Job
+	if p.Overdue && j.Spec.Priority != jobs.Prod {
+		return false // it waited for too long to lose its place at once
+	}
+	if v.Spec.Rank() < j.Spec.Rank() {
+		return true
+	}
+	// A team gets its guarantee from what another runs beyond its own, but not at
+	// the cost of a production service: its users notice at once, and a batch
+	// job can wait for the next task to end.
+	if v.Spec.Priority == jobs.Prod && j.Spec.Priority != jobs.Prod {
+		return false
+	}
+	return in.mayReclaim(j) && !v.Guaranteed && v.Spec.Team != j.Spec.Team && in.beyond(v.Spec.Team)
+}
+
+// mayReclaim tells whether a job takes what its team is guaranteed from others. Tasks
+// end all the time, and what is guaranteed goes first where they do: a claim that
+// can wait for that costs nobody the work of a task.
+func (in *Input) mayReclaim(j *Job) bool { return j.Guaranteed && !j.Patient }
+
+// beyond tells whether a team uses more than it is guaranteed.
+func (in *Input) beyond(team string) bool {
+	t, used := teamOf(in.Teams, team), in.Used[team]
+	return used.CPUs > t.CPUs+slack || used.GPUs > t.GPUs+slack
+}
+
+// slowFetch is how much longer than usual a fetch may take, from the protocol.
+const slowFetch = 4.0 / 3
+
+// makeRoom stops tasks for up to n tasks of a job, on machines that will do; nil
+// means all. Room that is being made is set aside, so that the next plan does not
+// stop more for the same need.
+func (in *Input) makeRoom(j *Job, n int, out *Output, will func(*Machine) bool) (made int) {
+	if !in.mayMakeRoom(j) {
+		return 0
+	}
+	// To start a little sooner is no reason to stop a gang.
+	in.spare = in.cached || will != nil
+	need := Of(j.Spec)
+	var candidates preemptions
+	for _, s := range in.Index.kinds {
+		if !in.allows(j, s) {
+			continue
+		}
+		s.all(func(m *Machine) {
+			if will != nil && !will(m) || in.cached && !m.Images[j.Spec.Image] {
+				return
+			}
+			in.look(m)
+			if w, ok := in.victims(j, m, need); ok {
+				candidates = append(candidates, w)
+			}
+		})
+	}
+	heap.Init(&candidates)
+	for made < n && len(candidates) > 0 {
+		w := candidates[0]
+		if !w.on.open(j) || !ZoneOpen(j.Spec, j.Zones, w.on.Zone) {
+			heap.Pop(&candidates)
+			continue
+		}
+		m := w.on
+		if tasks, freeing := m.Tasks, m.Freeing; in.trial {
+			m.Tasks = slices.Clone(tasks)
+			in.undo = append(in.undo, func() { m.Tasks, m.Freeing = tasks, freeing })
+		}
+		for _, v := range w.stop {
+			out.Stop = append(out.Stop, Stop{m, v, j.Spec.Shape != jobs.Batch})
+			m.Tasks = slices.DeleteFunc(m.Tasks, func(p *Placed) bool { return p == v })
+			m.Freeing = m.Freeing.Plus(Of(v.Job.Spec), 1)
+		}
+		// Taken out of what is free now and, for the rest, of what will be.
+		m.Freeing = m.Free.Plus(m.Freeing, 1).Plus(need, -1)
+		in.setFree(m, Amount{})
+		in.counted(j, m)
+		made++
+		if next, ok := in.victims(j, m, need); ok {
+			candidates[0] = next
+			heap.Fix(&candidates, 0)
+		} else {
+			heap.Pop(&candidates)
+		}
+	}
+	return made
+}
+
+// mayMakeRoom tells whether a search for victims can find any: it goes through
+// all machines, and mostly there is nothing of lower priority.
+func (in *Input) mayMakeRoom(j *Job) bool {
+	return in.Least < j.Spec.Rank() || in.mayReclaim(j) && slices.ContainsFunc(in.Teams, func(t settings.Team) bool {
+		return t.Name != j.Spec.Team && in.beyond(t.Name)
+	})
+}
+
+// preemption is what a machine would lose to take one more task.
+type preemption struct {
+	on   *Machine
+	stop []*Placed
+	cost float64
+}
+
+// preemptions is a heap, the cheapest first.
+type preemptions []preemption
+
+func (s preemptions) Len() int { return len(s) }
+
+func (s preemptions) Less(a, b int) bool {
+	return cmp.Or(cmp.Compare(s[a].cost, s[b].cost), cmp.Compare(s[a].on.ID, s[b].on.ID)) < 0
+}
+
+func (s preemptions) Swap(a, b int) { s[a], s[b] = s[b], s[a] }
+
+func (s *preemptions) Push(x any) { *s = append(*s, x.(preemption)) }
+
+func (s *preemptions) Pop() any {
+	last := (*s)[len(*s)-1]
+	*s = (*s)[:len(*s)-1]
+	return last
+}
+
+// cost is what stopping a task loses. A gang loses what all of its tasks have run
+// for, and has to find room for all of them at a time again.
+func (p *Placed) cost() float64 {
+	s := p.Job.Spec
+	if s.Shape == jobs.Gang {
+		return float64(p.Falls) * (1 + (p.RanS+s.EstimateS)*s.CPUs)
+	}
+	return 1 + p.RanS*s.CPUs
+}
+
+// victims returns the cheapest tasks to stop on a machine.
+func (in *Input) victims(j *Job, m *Machine, need Amount) (w preemption, ok bool) {
+	if !m.open(j) {
+		return w, false
+	}
+	w.on = m
+	room := m.Free.Plus(m.Freeing, 1)
+	if room.Fits(need) {
+		return w, true
+	}
+	var order []*Placed
+	for _, v := range m.Tasks {
+		if mayStop(in, j, v) && !(in.spare && v.Job.Spec.Shape == jobs.Gang) {
+			order = append(order, v)
+		}
+	}
+	slices.SortStableFunc(order, func(a, b *Placed) int {
+		return cmp.Or(cmp.Compare(a.Job.Spec.Rank(), b.Job.Spec.Rank()), cmp.Compare(a.cost(), b.cost()))
+	})
+	for _, v := range order {
+		room = room.Plus(Of(v.Job.Spec), 1)
+		w.stop = append(w.stop, v)
+		w.cost += v.cost()
+		if room.Fits(need) {
+			return w, true
+		}
+	}
+	return w, false
+}
