--- a/internal/control/announce.go
+++ b/internal/control/announce.go
@@ -16,11 +16,11 @@
 // announce orders the machines found in the records that cannot wait.
 func (l *Leader) announce() {
 	needs := l.openNeeds()
-	for _, p := range l.book.pages {
+	for _, p := range l.log.segments {
 		for _, attempt := range sorted(p.begun) {
 			a := p.begun[attempt]
 			if a.job.over() || a.stop || l.mayTake(a.m, needs) {
-				l.poke(a.m)
+				l.notify(a.m)
 			}
 		}
 	}
@@ -29,7 +29,7 @@
 // announceLate orders a machine that has not reported to this leader by itself.
 func (l *Leader) announceLate(m *machine, now time.Time) {
 	if m.phase == up && m.reported.IsZero() && m.token < l.term.Token && now.Sub(m.known) > l.Derived.AnnounceAfter {
-		l.poke(m)
+		l.notify(m)
 	}
 }
 
--- a/internal/control/announce_test.go
+++ b/internal/control/announce_test.go
@@ -29,27 +29,27 @@
 	// The record of a cancelled job has no description, so that it is not among the jobs.
 	spec, live := *l.jobs["j-7"].spec, *small
 	next := successor(l, written(l), now, &spec, &live)
-	poked := func() (ids []string) {
-		for _, m := range next.hails {
+	notifyPending := func() (ids []string) {
+		for _, m := range next.unconfirmedQueue {
 			ids = append(ids, m.id)
 		}
-		next.hails = nil
+		next.unconfirmedQueue = nil
 		slices.Sort(ids)
 		return ids
 	}
-	if got := poked(); fmt.Sprint(got) != "[m-900000 m-900001]" {
+	if got := notifyPending(); fmt.Sprint(got) != "[m-900000 m-900001]" {
 		t.Errorf("ordered at once: %v", got)
 	}
-	beat := func(at time.Time) {
-		for range ticksABeat {
-			next.turn = (next.turn + 1) % ticksABeat
-			for m := range next.machines.groups[next.turn] {
+	interval := func(at time.Time) {
+		for range ticksPerInterval {
+			next.tickGroup = (next.tickGroup + 1) % ticksPerInterval
+			for m := range next.machines.groups[next.tickGroup] {
 				next.announceLate(m, at)
 			}
 		}
 	}
-	beat(now.Add(next.Derived.AnnounceAfter))
-	if got := poked(); len(got) != 0 {
+	interval(now.Add(next.Derived.AnnounceAfter))
+	if got := notifyPending(); len(got) != 0 {
 		t.Errorf("ordered before a report period was over: %v", got)
 	}
 	for _, r := range reports[:10] {
@@ -57,8 +57,8 @@
 		r.Seq++
 		next.report(r, now)
 	}
-	beat(now.Add(next.Derived.AnnounceAfter + time.Second))
-	if got := poked(); fmt.Sprint(got) != "[m-000010 m-000011]" {
+	interval(now.Add(next.Derived.AnnounceAfter + time.Second))
+	if got := notifyPending(); fmt.Sprint(got) != "[m-000010 m-000011]" {
 		t.Errorf("ordered after a report period: %v", got)
 	}
 }
--- a/internal/control/book_test.go
+++ b/internal/control/assignment_log_test.go
@@ -16,8 +16,8 @@
 	"ospreyslip/internal/term"
 )
 
-// pageStore is a state service that holds pages, and checks what it is given.
-type pageStore struct {
+// segmentStore is a state service that holds segments, and checks what it is given.
+type segmentStore struct {
 	t     *testing.T
 	keys  map[string]state.Pair
 	rev   uint64
@@ -26,7 +26,7 @@
 }
 
 // apply carries out a transaction, or returns the guards that failed.
-func (s *pageStore) apply(b *batch) (failed []string) {
+func (s *segmentStore) apply(b *batch) (failed []string) {
 	for _, g := range b.guards {
 		if s.keys[g.Key].Mark != g.Mark {
 			failed = append(failed, g.Key)
@@ -48,29 +48,29 @@
 	return nil
 }
 
-func (s *pageStore) pairs() (out []state.Pair) {
+func (s *segmentStore) pairs() (out []state.Pair) {
 	for _, p := range s.keys {
 		out = append(out, p)
 	}
 	return out
 }
 
-// bookLeader is a leader that reads the book from the pages, with the jobs given.
-func bookLeader(s *pageStore, token uint64, specs []*jobs.Spec) *Leader {
+// logLeader is a leader that reads the log from the segments, with the jobs given.
+func logLeader(s *segmentStore, token uint64, specs []*jobs.Spec) *Leader {
 	l, m, _, now := bench()
 	l.lost(m, "not of this test")
-	l.jobs, l.machines, l.used, l.book, l.finals = map[string]*job{}, newMachineSet(), map[string]placement.Amount{}, book{}, nil
+	l.jobs, l.machines, l.used, l.log, l.finals = map[string]*job{}, newMachineSet(), map[string]placement.Amount{}, assignmentLog{}, nil
 	l.watch = liveness.New(liveness.Config{})
 	l.token, l.attempts = token, token<<24
 	l.Derived.ValueBytes, l.Derived.TxnOps = s.value, s.ops
 	for i, spec := range specs {
 		l.jobs[spec.ID] = newJob(spec.ID, spec, uint64(i+1), 0, now)
 	}
-	l.restore(l.readBook(s.pairs()), nil, now)
+	l.restore(l.readLog(s.pairs()), nil, now)
 	return l
 }
 
-// durable is what a leader knows to be in the book: what is on machines, and what
+// durable is what a leader knows to be in the log: what is on machines, and what
 // is done.
 func (l *Leader) durable() (out []string) {
 	for _, m := range l.machines.all {
@@ -92,7 +92,7 @@
 	return out
 }
 
-// Whatever the history, the sizes of pages, old and new, and the fate of single
+// Whatever the history, the sizes of segments, old and new, and the fate of single
 // transactions: a new leader finds what was durable, no end undone and nothing lost,
 // after each of them.
 func TestBookOverMixedPages(t *testing.T) {
@@ -100,20 +100,20 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			quiet(t)
 			rnd := rand.New(rand.NewPCG(seed, 7))
-			s := &pageStore{t: t, keys: map[string]state.Pair{}, value: 32 << 10, ops: 12}
+			s := &segmentStore{t: t, keys: map[string]state.Pair{}, value: 32 << 10, ops: 12}
 			specs := []*jobs.Spec{
 				{ID: "j-1", Team: "red", Shape: jobs.Batch, Tasks: 3000, CPUs: 1},
 				{ID: "j-2", Team: "red", Shape: jobs.Service, Tasks: 900, CPUs: 1},
 				{ID: "j-3", Team: "red", Shape: jobs.Gang, Tasks: 200, CPUs: 1},
 			}
-			l := bookLeader(s, 1, specs)
+			l := logLeader(s, 1, specs)
 			token := uint64(1)
 			for step := range 240 {
 				if step == 60 {
-					// As production wrote them, the pages are full by now. The limits fall.
+					// As production wrote them, the segments are full by now. The limits fall.
 					s.value, s.ops = 2<<10, 4
 					token++
-					l = bookLeader(s, token, specs)
+					l = logLeader(s, token, specs)
 				}
 				l.stir(rnd)
 				if step < 60 {
@@ -125,8 +125,8 @@
 				}
 				before := l.durable()
 				for i := range len(s.keys) {
-					if _, ok := s.keys[fmt.Sprint(bookPrefix, i)]; !ok {
-						t.Fatalf("step %d: of %d pages, none is called %d", step, len(s.keys), i)
+					if _, ok := s.keys[fmt.Sprint(logPrefix, i)]; !ok {
+						t.Fatalf("step %d: of %d segments, none is called %d", step, len(s.keys), i)
 					}
 				}
 				switch failed := s.apply(b); {
@@ -134,10 +134,10 @@
 					for _, f := range slices.Backward(b.undo) {
 						f()
 					}
-					l.book.open = true
+					l.log.open = true
 					if rnd.IntN(2) == 0 { // and so is the leader
 						token++
-						l = bookLeader(s, token, specs)
+						l = logLeader(s, token, specs)
 					}
 				case len(failed) > 0:
 					for _, f := range slices.Backward(b.undo) {
@@ -156,7 +156,7 @@
 					if d := cmp.Diff(l.durable(), asProduction(t, s.pairs(), l.Derived.ChunkTasks)); d != "" {
 						t.Fatalf("step %d, what production reads: %s", step, d)
 					}
-					next := bookLeader(s, token+1, specs)
+					next := logLeader(s, token+1, specs)
 					if d := cmp.Diff(l.durable(), next.durable()); d != "" {
 						t.Fatalf("step %d, what the next leader reads: %s", step, d)
 					}
@@ -171,12 +171,12 @@
 	}
 }
 
-// A transaction writes no more pages than its news need: with each page that it
-// drafted, the book once seemed to wait for one more.
+// A transaction writes no more segments than its news need: with each segment that it
+// drafted, the log once seemed to wait for one more.
 func TestPagesByNeed(t *testing.T) {
 	l, j, _ := withGang()
 	if b := l.compose(); len(b.writes) != 1 {
-		t.Errorf("%d pages for %d beginnings", len(b.writes), j.spec.Tasks)
+		t.Errorf("%d segments for %d beginnings", len(b.writes), j.spec.Tasks)
 	}
 }
 
@@ -225,7 +225,7 @@
 func TestEveryWriteIsGuarded(t *testing.T) {
 	l, m, j, now := bench()
 	l.term.Mark, l.tokenMark, j.mark = 77, 78, 79
-	l.readBook(nil)
+	l.readLog(nil)
 	l.raise = true
 	l.finals = append(l.finals, j)
 	l.assign(j, j.take(), m, now) // its beginning is to be written
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -31,17 +31,17 @@
 func (l *Leader) listing(ctx context.Context) {
 	for ctx.Err() == nil {
 		asked := time.Now()
-		all, pages, err := l.Cloud.List(ctx)
+		all, segments, err := l.Cloud.List(ctx)
 		if err != nil {
 			slog.Debug("machines not listed", "term", l.term.Token, "reason", err)
 		} else {
 			l.post(ctx, func(now time.Time) { l.listed(ctx, all, asked, now) })
 		}
-		l.pause(ctx, max(l.Derived.ListEvery, time.Duration(float64(pages)/(listShare*l.Settings.Deployment.Cloud.RPS)*float64(time.Second))))
+		l.pause(ctx, max(l.Derived.ListEvery, time.Duration(float64(segments)/(listShare*l.Settings.Deployment.Cloud.RPS)*float64(time.Second))))
 	}
 }
 
-// listed compares the cloud's list with our books. The list lags, so that a
+// listed compares the cloud's list with what we know. The list lags, so that a
 // machine missing from it proves nothing, nor does one that is still there. But
 // one that was in an earlier list, and has not reported since this one was asked
 // for, is mostly gone: it is called.
@@ -103,7 +103,7 @@
 
 // manageFleet returns what is not needed and rents what is.
 func (l *Leader) manageFleet(ctx context.Context, now time.Time) {
-	if now.Sub(l.fleetAt) < max(l.Derived.Beat/4, times(l.fleetTook, 1/planShare)) || l.Catalog() == nil {
+	if now.Sub(l.fleetAt) < max(l.Derived.ControlInterval/4, times(l.fleetTook, 1/planShare)) || l.Catalog() == nil {
 		return
 	}
 	l.fleetAt = now
@@ -141,7 +141,7 @@
 // rent asks for machines, with a few requests at a time: more would only wait for
 // each other at the cloud, and what they ask for be out of date when it comes.
 func (l *Leader) rent(ctx context.Context, now time.Time) {
-	if l.chartersOut >= l.Derived.ChartersOut {
+	if l.rentalsInFlight >= l.Derived.RentalsInFlight {
 		return
 	}
 	needs := l.needs(now)
@@ -172,12 +172,12 @@
 		},
 	})
 	for _, k := range fleet.Sorted(plan) {
-		for n := plan[k]; n > 0 && l.chartersOut < l.Derived.ChartersOut; n -= fleet.MaxRent {
-			l.charters++
-			l.chartersOut++
-			r := fleet.Rental{Name: fmt.Sprintf("r-%d-%d", l.term.Token, l.charters), Kind: k, Count: min(n, fleet.MaxRent)}
+		for n := plan[k]; n > 0 && l.rentalsInFlight < l.Derived.RentalsInFlight; n -= fleet.MaxRent {
+			l.rentalsMade++
+			l.rentalsInFlight++
+			r := fleet.Rental{Name: fmt.Sprintf("r-%d-%d", l.term.Token, l.rentalsMade), Kind: k, Count: min(n, fleet.MaxRent)}
 			l.renting[k] += r.Count
-			go l.charter(ctx, r)
+			go l.requestRental(ctx, r)
 		}
 	}
 }
@@ -331,9 +331,9 @@
 	return patience * (l.runS(j.Spec) + l.shortestBoot().Seconds())
 }
 
-// charter rents until the outcome is known: after anything but an answer the
+// requestRental rents until the outcome is known: after anything but an answer the
 // same request, which the cloud carries out once only, goes out again.
-func (l *Leader) charter(ctx context.Context, r fleet.Rental) {
+func (l *Leader) requestRental(ctx context.Context, r fleet.Rental) {
 	ids, err := backoff.Retry(ctx, func() ([]string, error) {
 		if !l.Valid() {
 			return nil, backoff.Permanent(errTermOver)
@@ -345,11 +345,11 @@
 		return ids, err
 	}, backoff.WithBackOff(l.backOff()), backoff.WithMaxElapsedTime(0))
 	l.post(ctx, func(now time.Time) {
-		l.chartersOut--
+		l.rentalsInFlight--
 		l.renting[r.Kind] -= r.Count
 		if err != nil || len(ids) < r.Count {
 			ref := l.refused[r.Kind]
-			ref.wait = min(max(2*ref.wait, 2*l.Derived.Beat), 8*l.Derived.ListLag)
+			ref.wait = min(max(2*ref.wait, 2*l.Derived.ControlInterval), 8*l.Derived.ListLag)
 			ref.until = now.Add(ref.wait)
 			l.refused[r.Kind] = ref
 		} else {
--- a/internal/control/gangs.go
+++ b/internal/control/gangs.go
@@ -43,7 +43,7 @@
 func (l *Leader) gangWritten(j *job) {
 	if j.gang.written++; j.verdict() == gang.Go {
 		for _, a := range j.tasks {
-			l.poke(a.m)
+			l.notify(a.m)
 		}
 	}
 }
@@ -73,8 +73,8 @@
 	l.replan = true
 }
 
-// halt stops a task, and with it the gang that it is one of.
-func (l *Leader) halt(a *assignment, grace float64) {
+// stopWithGang stops a task, and with it the gang that it is one of.
+func (l *Leader) stopWithGang(a *assignment, grace float64) {
 	if a.job.isGang() {
 		l.stopGang(a.job, grace)
 		return
--- a/internal/control/gangs_test.go
+++ b/internal/control/gangs_test.go
@@ -21,8 +21,8 @@
 		l.forget(a)
 	}
 	delete(l.jobs, old.id)
-	l.book = book{}
-	l.readBook(nil)
+	l.log = assignmentLog{}
+	l.readLog(nil)
 	other := report(1, 1)
 	other.Machine = "m-2"
 	l.report(other, now)
@@ -38,12 +38,12 @@
 
 // write makes the beginnings of some tasks durable.
 func (l *Leader) write(j *job, tasks ...int) {
-	d := &draft{}
+	d := &segmentBuilder{}
 	for _, n := range tasks {
 		d.kept = append(d.kept, j.tasks[n])
 	}
-	l.book.begins = nil
-	l.paged(l.book.pages[len(l.book.pages)-1-len(tasks)], d, 1)
+	l.log.begins = nil
+	l.segmentWritten(l.log.segments[len(l.log.segments)-1-len(tasks)], d, 1)
 }
 
 var seq uint64 = 10
@@ -175,8 +175,8 @@
 	l.write(j, 0, 1, 2)
 	l.says("m-1", j, now, j.task(0, workers.Running, ""), j.task(1, workers.Running, ""))
 	l.says("m-2", j, now, j.task(2, workers.Running, ""))
-	l.halt(j.tasks[1], 3)
-	for range mostUnheeded + 2 {
+	l.stopWithGang(j.tasks[1], 3)
+	for range mostUndelivered + 2 {
 		if d := cmp.Diff([]string{"stop j-2/0", "stop j-2/1"}, l.says("m-1", j, now, j.task(0, workers.Running, ""), j.task(1, workers.Running, ""))); d != "" {
 			t.Fatal(d)
 		}
@@ -184,7 +184,7 @@
 	if !l.usable(l.machines.byID["m-1"], now) {
 		t.Error("a machine whose tasks save is taken for one that does not hear")
 	}
-	if a := j.tasks[2]; !a.stop || a.grace != 3 || !l.machines.byID["m-2"].poked {
+	if a := j.tasks[2]; !a.stop || a.grace != 3 || !l.machines.byID["m-2"].notifyPending {
 		t.Error("a mate on another machine is not told at once, with time to save")
 	}
 }
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -176,37 +176,37 @@
 	mayResign bool
 	resign    bool
 	finals    []*job
-	book      book
+	log       assignmentLog
 	flushedAt time.Time
 
-	turn      int // of the ticks in a beat
-	capacity  placement.CapacityIndex
-	ranks     [8]int // tasks on machines, by priority
-	queued    map[*job]bool
-	uncovered bool // which jobs are covered is to be found out anew
-	replan    bool
-	plannedAt time.Time
-	planTook  time.Duration
-	unmet     []placement.Demand
-	pokes     []*machine // have something to be told at once
-	hails     []*machine // the same, but they may not answer
-	ordersOut int
-	callsOut  int
-
-	shownAt     time.Time
-	fleetAt     time.Time
-	fleetTook   time.Duration
-	charters    int // requests made
-	chartersOut int
-	returns     []string // machines to be given back
-	returning   bool     // a request is on its way
-	renting     map[fleet.Kind]int
-	refused     map[fleet.Kind]refusal
-	listSyncAt  time.Time
-	flow        float64 // batch work that arrives, in CPUs
-	flowAt      time.Time
-	runs        map[string]*runs     // by class
-	gone        map[string]time.Time // given back, though perhaps still listed
+	tickGroup        int // of the ticks in a control interval
+	capacity         placement.CapacityIndex
+	ranks            [8]int // tasks on machines, by priority
+	queued           map[*job]bool
+	uncovered        bool // which jobs are covered is to be found out anew
+	replan           bool
+	plannedAt        time.Time
+	planTook         time.Duration
+	unmet            []placement.Demand
+	notifyQueue      []*machine // have something to be told at once
+	unconfirmedQueue []*machine // the same, but they may not answer
+	ordersInFlight   int
+	callsInFlight    int
+
+	shownAt         time.Time
+	fleetAt         time.Time
+	fleetTook       time.Duration
+	rentalsMade     int // requests made
+	rentalsInFlight int
+	returns         []string // machines to be given back
+	returning       bool     // a request is on its way
+	renting         map[fleet.Kind]int
+	refused         map[fleet.Kind]refusal
+	listSyncAt      time.Time
+	flow            float64 // batch work that arrives, in CPUs
+	flowAt          time.Time
+	runs            map[string]*runs     // by class
+	gone            map[string]time.Time // given back, though perhaps still listed
 }
 
 type refusal struct {
@@ -214,9 +214,9 @@
 	wait  time.Duration
 }
 
-// ticksABeat is how many ticks there are in a beat. What need not be looked at in each,
+// ticksPerInterval is how many ticks there are in a control interval. What need not be looked at in each,
 // of thousands of machines, has its turn in one of them.
-const ticksABeat = 8
+const ticksPerInterval = 8
 
 // smallZone is the size of a zone that the operators' gap between verdicts is for.
 const smallZone = 20
@@ -271,7 +271,7 @@
 }
 
 func (l *Leader) run(ctx context.Context) {
-	tick := time.NewTicker(l.Derived.Beat / ticksABeat)
+	tick := time.NewTicker(l.Derived.ControlInterval / ticksPerInterval)
 	defer tick.Stop()
 	for {
 		select {
@@ -318,12 +318,12 @@
 func (l *Leader) load(ctx context.Context) (after uint64, err error) {
 	now := time.Now()
 	l.fresh = now
-	pages, _, err := l.Store.List(ctx, bookPrefix)
+	segments, _, err := l.Store.List(ctx, logPrefix)
 	if err != nil {
 		return 0, err
 	}
-	book := l.readBook(pages)
-	named := jobsNamed(book)
+	log := l.readLog(segments)
+	named := jobsNamed(log)
 	ended := map[string]state.Pair{} // of which tasks may be left
 	over := 0
 	after, err = l.Store.Each(ctx, jobs.RecordPrefix, func(p state.Pair) {
@@ -345,7 +345,7 @@
 	if err != nil {
 		return 0, err
 	}
-	l.restore(book, ended, now)
+	l.restore(log, ended, now)
 	for _, j := range l.jobs {
 		if j.isGang() && !j.over() && j.verdict() == gang.End {
 			l.stopGang(j, 0) // its leader ended when a part of it had begun, or was over
@@ -367,11 +367,11 @@
 	return after, nil
 }
 
-// jobsNamed returns the jobs of which the book has tasks.
-func jobsNamed(book []pageRecord) map[string]bool {
+// jobsNamed returns the jobs of which the log has tasks.
+func jobsNamed(log []segmentRecord) map[string]bool {
 	named := map[string]bool{}
-	for _, page := range book {
-		for _, b := range page.Begun {
+	for _, segment := range log {
+		for _, b := range segment.Begun {
 			for _, t := range b.Tasks {
 				named[t.Job] = true
 			}
@@ -380,15 +380,15 @@
 	return named
 }
 
-// restore takes in the book. Whatever it names may be there: the tasks count
+// restore takes in the log. Whatever it names may be there: the tasks count
 // until a report under our token, or the end of the lease, shows otherwise. No
 // earlier leader answered a report later than the term began.
-func (l *Leader) restore(recs []pageRecord, ended map[string]state.Pair, now time.Time) {
-	first := len(l.book.pages) - len(recs)
-	where := map[uint64]*page{}
+func (l *Leader) restore(recs []segmentRecord, ended map[string]state.Pair, now time.Time) {
+	first := len(l.log.segments) - len(recs)
+	where := map[uint64]*segment{}
 	defer l.announce()
 	for i, rec := range recs {
-		p := l.book.pages[first+i]
+		p := l.log.segments[first+i]
 		for _, b := range rec.Begun {
 			m := l.restoreMachine(b, now)
 			for _, t := range b.Tasks {
@@ -418,7 +418,7 @@
 			j.chunks[d.Chunk] = &chunk{home: p, saved: true}
 		}
 	}
-	for _, p := range l.book.pages {
+	for _, p := range l.log.segments {
 		for _, attempt := range sorted(p.begun) {
 			a := p.begun[attempt]
 			l.count(a)
@@ -432,7 +432,7 @@
 			}
 		}
 	}
-	for _, p := range l.book.pages {
+	for _, p := range l.log.segments {
 		for _, attempt := range sorted(p.begun) {
 			a := p.begun[attempt]
 			switch {
@@ -459,8 +459,8 @@
 }
 
 // restoreTask finds out what may be on a machine; it does not count before the
-// whole book is read.
-func (l *Leader) restoreTask(p *page, m *machine, session uint64, t taskRecord, ended map[string]state.Pair, now time.Time) {
+// whole log is read.
+func (l *Leader) restoreTask(p *segment, m *machine, session uint64, t taskRecord, ended map[string]state.Pair, now time.Time) {
 	j := l.jobs[t.Job]
 	if j == nil {
 		var old jobs.Record
--- a/internal/control/machine_set.go
+++ b/internal/control/machine_set.go
@@ -2,11 +2,11 @@
 
 // machineSet holds the leader's machines. A tick goes through all of them for what
 // cannot wait, and through one group for the rest, so that each machine has its turn
-// once in a beat.
+// once in a control interval.
 type machineSet struct {
 	byID   map[string]*machine
 	all    []*machine
-	groups [ticksABeat]map[*machine]bool
+	groups [ticksPerInterval]map[*machine]bool
 }
 
 func newMachineSet() machineSet {
@@ -22,7 +22,7 @@
 	m.at = len(s.all)
 	s.all = append(s.all, m)
 	s.byID[m.id] = m
-	s.groups[m.turn][m] = true
+	s.groups[m.group][m] = true
 }
 
 // remove drops a machine that is there.
@@ -31,7 +31,7 @@
 	s.all[m.at], last.at = last, m.at
 	s.all = s.all[:len(s.all)-1]
 	delete(s.byID, m.id)
-	delete(s.groups[m.turn], m)
+	delete(s.groups[m.group], m)
 }
 
 // has tells whether this machine, not only one of the same id, is there.
--- a/internal/control/model.go
+++ b/internal/control/model.go
@@ -45,11 +45,11 @@
 }
 
 type chunk struct {
-	home   *page // where it was last written
+	home   *segment // where it was last written
 	dirty  bool
 	saved  bool // every bit set so far is durable
-	moving bool // to another page, outcome open
-	large  bool // no page holds it
+	moving bool // to another segment, outcome open
+	large  bool // no segment holds it
 }
 
 type chunkRef struct {
@@ -130,12 +130,12 @@
 	m       *machine
 
 	restored bool      // found in the records: nobody here saw it begin
-	home     *page     // where its beginning is written
+	home     *segment  // where its beginning is written
 	durable  bool      // written: the worker may hear of it
 	outcome  outcome   // over, as soon as that is durable
 	ending   bool      // queued to be written as over
 	closing  bool      // written as over, outcome open
-	moving   bool      // its beginning is written on another page, outcome open
+	moving   bool      // its beginning is written on another segment, outcome open
 	inRoom   bool      // counts in the machine's room
 	seen     string    // state in the newest picture, empty if absent
 	born     time.Time // when this leader made or found it
@@ -174,7 +174,7 @@
 	lastReport          liveness.Counter // newest report, answers to calls aside
 	token               uint64           // highest the worker has shown
 	wantsToken          bool             // a higher one, if there is one: see tokenFor
-	picture             []workers.Task
+	reportedTasks       []workers.Task
 	reported            time.Time // when its last report came
 	leaseUntil          time.Time // by then a worker unheard has ended its tasks
 	assigned            map[uint64]*assignment
@@ -188,9 +188,9 @@
 	noticeUntil         time.Time
 	known               time.Time // when this leader learnt of it
 	at                  int       // index into all of its machineSet
-	turn                int       // the tick of a beat in which it is looked at
+	group               int       // the tick of a control interval in which it is looked at
 	idleSince           time.Time
-	poked               bool // has something to be told at once
+	notifyPending       bool // has something to be told at once
 	orderBusy           bool
 	orderAfter          time.Time
 	orderFails          int // orders in a row that had no answer
@@ -198,8 +198,8 @@
 	ordered             map[ref]uint64  // what was begun by an order, with its token
 	failures            map[string]bool // jobs that failed here since one succeeded
 	listed              time.Time       // when the newest list that had it was asked for
-	told                []workers.Call  // what the last answer asked for
-	unheeded            int             // answers in a row of which nothing came
+	lastCalls           []workers.Call  // what the last answer asked for
+	undelivered         int             // answers in a row of which nothing came
 }
 
 // image is one that a machine keeps.
@@ -231,7 +231,7 @@
 	sum := fnv.New32a()
 	_, _ = sum.Write([]byte(id))
 	return &machine{
-		id: id, known: now, idleSince: now, turn: int(sum.Sum32() % ticksABeat),
+		id: id, known: now, idleSince: now, group: int(sum.Sum32() % ticksPerInterval),
 		assigned: map[uint64]*assignment{}, avoid: map[string]time.Time{}, failures: map[string]bool{}, ordered: map[ref]uint64{},
 		offer: &placement.Machine{ID: id, Images: map[string]bool{}, Fetching: map[string]float64{}, Avoid: map[string]bool{}},
 	}
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -16,46 +16,46 @@
 	return liveness.Counter{Session: r.Session, Seq: r.Seq}
 }
 
-// poke notes that a worker has something to be told at once.
-func (l *Leader) poke(m *machine) {
-	if !m.poked {
-		m.poked = true
-		l.repoke(m)
+// notify notes that a worker has something to be told at once.
+func (l *Leader) notify(m *machine) {
+	if !m.notifyPending {
+		m.notifyPending = true
+		l.requeue(m)
 	}
 }
 
-// repoke queues a worker that has something to be told. Those that may not answer
+// requeue queues a worker that has something to be told. Those that may not answer
 // have a queue of their own: a zone that is cut off must not keep the others
 // waiting behind orders that time out.
-func (l *Leader) repoke(m *machine) {
+func (l *Leader) requeue(m *machine) {
 	switch {
-	case !m.poked:
+	case !m.notifyPending:
 	case m.orderFails > 0 || m.reported.IsZero():
-		l.hails = append(l.hails, m)
+		l.unconfirmedQueue = append(l.unconfirmedQueue, m)
 	default:
-		l.pokes = append(l.pokes, m)
+		l.notifyQueue = append(l.notifyQueue, m)
 	}
 }
 
 // orders tells workers at once what cannot wait for their next report. A few
 // orders are on their way at a time: at a take-over every worker has to be told.
 func (l *Leader) orders(ctx context.Context, now time.Time) {
-	l.sendOrders(ctx, now, &l.pokes, l.Derived.OrdersOut)
-	l.sendOrders(ctx, now, &l.hails, l.Derived.OrdersOut/2)
+	l.sendOrders(ctx, now, &l.notifyQueue, l.Derived.OrdersInFlight)
+	l.sendOrders(ctx, now, &l.unconfirmedQueue, l.Derived.OrdersInFlight/2)
 }
 
 func (l *Leader) sendOrders(ctx context.Context, now time.Time, queue *[]*machine, most int) {
-	for len(*queue) > 0 && l.ordersOut < most {
+	for len(*queue) > 0 && l.ordersInFlight < most {
 		m := (*queue)[0]
 		*queue = (*queue)[1:]
-		if !m.poked || m.orderBusy {
+		if !m.notifyPending || m.orderBusy {
 			continue // nothing any more, or looked at again when that order has returned
 		}
 		if wait := m.orderAfter.Sub(now); wait > 0 {
-			l.later(ctx, wait, func() { l.repoke(m) })
+			l.later(ctx, wait, func() { l.requeue(m) })
 			continue
 		}
-		m.poked = false
+		m.notifyPending = false
 		if m.phase != up || m.session == 0 || m.addr == "" || !m.doubtSince.IsZero() || now.After(m.leaseUntil) || !l.Valid() {
 			continue
 		}
@@ -64,7 +64,7 @@
 		if len(calls) == 0 && m.token >= token {
 			continue
 		}
-		l.ordersOut++
+		l.ordersInFlight++
 		m.orderBusy = true
 		l.watch.Called(m.id)
 		order := workers.Order{Token: token, Session: m.session, Calls: calls}
@@ -86,8 +86,8 @@
 // until a report shows them or the worker has seen a higher token.
 func (l *Leader) ordered(m *machine, o workers.Order, r *workers.Report, ok bool, err error, now time.Time) {
 	m.orderBusy = false
-	l.ordersOut--
-	defer l.repoke(m)
+	l.ordersInFlight--
+	defer l.requeue(m)
 	neverSent := !ok && err == nil
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
@@ -110,13 +110,13 @@
 	}
 	if err != nil {
 		slog.Debug("order failed", "machine", m.id, "term", l.token, "reason", err)
-		m.orderAfter = now.Add(min(l.Derived.Beat<<min(m.orderFails, 8), l.Derived.Lease/4))
+		m.orderAfter = now.Add(min(l.Derived.ControlInterval<<min(m.orderFails, 8), l.Derived.Lease/4))
 		m.orderFails++
-		m.poked = true
+		m.notifyPending = true
 		l.watch.Suspect(m.id)
 		return
 	}
-	m.unheeded, m.orderFails = 0, 0
+	m.undelivered, m.orderFails = 0, 0
 	l.watch.Hears(m.id)
 	l.watch.Answered(m.id, counter(r))
 	l.observe(m, r, now)
@@ -140,12 +140,12 @@
 		for _, a := range m.assigned {
 			if a.outcome == open && a.doubt != 0 {
 				inDoubt = true
-				raise = raise || a.doubt == l.token && now.Sub(m.doubtSince) > l.Derived.DoubtFor && now.Sub(l.raisedAt) > l.Derived.Beat
+				raise = raise || a.doubt == l.token && now.Sub(m.doubtSince) > l.Derived.DoubtFor && now.Sub(l.raisedAt) > l.Derived.ControlInterval
 			}
 		}
 		if !inDoubt {
 			m.doubtSince = time.Time{}
-			l.poke(m)
+			l.notify(m)
 		}
 	}
 	if raise {
@@ -172,7 +172,7 @@
 		l.lost(m, "worker lease over")
 		// Whatever still comes from the old session is out of date.
 		if m.session != 0 {
-			m.session, m.seq, m.picture = m.session+1, 0, nil
+			m.session, m.seq, m.reportedTasks = m.session+1, 0, nil
 			m.doubtSince = time.Time{}
 		}
 		m.leaseUntil = now.Add(l.Derived.LeaseOver)
@@ -205,25 +205,25 @@
 	}
 	l.expire(now)
 	l.doubts(now)
-	l.turn = (l.turn + 1) % ticksABeat
-	for m := range l.machines.groups[l.turn] {
+	l.tickGroup = (l.tickGroup + 1) % ticksPerInterval
+	for m := range l.machines.groups[l.tickGroup] {
 		l.announceLate(m, now)
 		l.updateCapacity(m, now) // what has fallen silent takes no work
-		if m.unshun(now) {
+		if m.endAvoidance(now) {
 			l.replan = true
 		}
 	}
-	if l.turn == 0 && l.mayBegin(now) {
+	if l.tickGroup == 0 && l.mayBegin(now) {
 		l.findSlow(now)
 	}
-	calls, verdicts := l.watch.Tick(now, l.Derived.OrdersOut-l.callsOut)
+	calls, verdicts := l.watch.Tick(now, l.Derived.OrdersInFlight-l.callsInFlight)
 	for _, id := range calls {
 		m := l.machines.byID[id]
 		if m == nil {
 			l.watch.Forget(id)
 			continue
 		}
-		l.callsOut++
+		l.callsInFlight++
 		go func() {
 			r, err := l.Workers.Inspect(ctx, m.addr)
 			l.post(ctx, func(now time.Time) { l.inspected(m, r, err, now) })
@@ -235,11 +235,11 @@
 	l.manageFleet(ctx, now)
 	// What is known to be lost is durable first: the next leader would wait a whole lease
 	// for it once more.
-	if l.watch.Disrupted() && l.mayResign && !l.writing && !l.book.waiting() {
+	if l.watch.Disrupted() && l.mayResign && !l.writing && !l.log.waiting() {
 		slog.Info("resigning", "term", l.token, "reason", "no machine of any zone reports here")
 		l.resign = true
 	}
-	if now.Sub(l.shownAt) > l.Derived.Beat/2 {
+	if now.Sub(l.shownAt) > l.Derived.ControlInterval/2 {
 		l.shownAt = now
 		l.Publish(l.Counts.shown())
 	}
@@ -258,16 +258,16 @@
 	return n
 }
 
-// pictureAge is how old the picture of users' wishes may be.
-func (l *Leader) pictureAge(now time.Time) time.Duration { return now.Sub(l.fresh) }
+// viewAge is how old the picture of users' wishes may be.
+func (l *Leader) viewAge(now time.Time) time.Duration { return now.Sub(l.fresh) }
 
 func (l *Leader) inspected(m *machine, r *workers.Report, err error, now time.Time) {
-	l.callsOut--
+	l.callsInFlight--
 	if err != nil {
 		l.watch.CallDone(m.id, false, liveness.Counter{}, now)
 		return
 	}
-	m.unheeded = 0
+	m.undelivered = 0
 	// The answer is a newer picture of the tasks, though it renews no lease.
 	l.watch.CallDone(m.id, true, counter(r), now)
 	l.observe(m, r, now)
@@ -289,7 +289,7 @@
 			l.stopGang(a.job, 0)
 		}
 	}
-	l.book.deaths = append(l.book.deaths, m.id)
+	l.log.deaths = append(l.log.deaths, m.id)
 	l.updateCapacity(m, now)
 	l.replan = true
 	if reason == liveness.CallFailed {
--- a/internal/control/picture_test.go
+++ b/internal/control/picture_test.go
@@ -251,7 +251,7 @@
 // happens. It must not look healthy for ever.
 func TestAnswersUnheeded(t *testing.T) {
 	l, m, _, now := bench()
-	for seq := uint64(2); seq < 2+mostUnheeded+1; seq++ {
+	for seq := uint64(2); seq < 2+mostUndelivered+1; seq++ {
 		if calls := l.report(report(1, seq), now).Calls; len(calls) != 1 {
 			t.Fatalf("report %d: %v", seq, ops(calls))
 		}
@@ -268,7 +268,7 @@
 	}
 	l.report(report(1, 21, workers.Task{Task: "j-1/0", Attempt: 101, State: workers.Running}), now)
 	l.report(report(1, 22, workers.Task{Task: "j-1/0", Attempt: 101, State: workers.Running}), now)
-	if m.unheeded != 0 || !l.usable(m, now) {
+	if m.undelivered != 0 || !l.usable(m, now) {
 		t.Error("a machine that does what it is told is suspected")
 	}
 }
@@ -312,21 +312,21 @@
 		l, m, _, _ := bench()
 		now := time.Now()
 		l.Workers = workers.NewClient(silent, time.Minute)
-		l.Derived.OrdersOut = 4
+		l.Derived.OrdersInFlight = 4
 		l.events = make(chan func(time.Time), 64)
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		for i := range 20 {
 			lost := newMachine(fmt.Sprint("m-9", i), now)
 			lost.phase, lost.session, lost.addr, lost.leaseUntil = up, 1, "10.1.0.9:9000", now.Add(time.Hour)
-			l.poke(lost) // from an earlier leader's records: it has not reported to this one
+			l.notify(lost) // from an earlier leader's records: it has not reported to this one
 		}
 		l.orders(ctx, now)
-		if l.ordersOut != 2 {
-			t.Errorf("%d of 4 orders at a time to machines that may not answer", l.ordersOut)
+		if l.ordersInFlight != 2 {
+			t.Errorf("%d of 4 orders at a time to machines that may not answer", l.ordersInFlight)
 		}
 		m.leaseUntil = now.Add(time.Hour)
-		l.poke(m)
+		l.notify(m)
 		l.orders(ctx, now)
 		if !m.orderBusy {
 			t.Error("a machine that reports waits behind those that do not")
@@ -362,7 +362,7 @@
 		}
 		// What had begun before is not sent any more either.
 		l.release(ctx, now, m)
-		l.charter(ctx, fleet.Rental{Name: "r-5-1", Count: 1})
+		l.requestRental(ctx, fleet.Rental{Name: "r-5-1", Count: 1})
 		synctest.Wait()
 		if asked > 0 {
 			t.Errorf("%d requests to the cloud", asked)
@@ -406,7 +406,7 @@
 		if l.mayBegin(now) {
 			t.Error("plans while nothing can be made durable")
 		}
-		l.book.open = false
+		l.log.open = false
 		l.written(t.Context(), &batch{}, 0, nil, fmt.Errorf("%w: %w", state.ErrRefused, state.ErrRejected))
 		if !l.mayBegin(now) {
 			t.Error("plans no more")
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -193,7 +193,7 @@
 		if o.Kind == "wait" && o.Class == j.spec.Class {
 			// Until the order is out and the report back. What has run before
 			// is wanted back as soon as it was wanted at first.
-			p.StartS = o.WithinS - l.Derived.Beat.Seconds()/4
+			p.StartS = o.WithinS - l.Derived.ControlInterval.Seconds()/4
 			if len(j.again) == 0 {
 				p.StartS -= float64(wall-j.atMs) / 1000
 			}
@@ -252,7 +252,7 @@
 
 // mayPlan tells whether it is time for a plan.
 func (l *Leader) mayPlan(now time.Time) bool {
-	return l.replan && l.mayBegin(now) && now.Sub(l.plannedAt) >= max(l.Derived.Beat/32, times(l.planTook, 1/planShare))
+	return l.replan && l.mayBegin(now) && now.Sub(l.plannedAt) >= max(l.Derived.ControlInterval/32, times(l.planTook, 1/planShare))
 }
 
 // place plans on the picture as it is and carries the plan out.
@@ -298,7 +298,7 @@
 		if !s.AtOnce {
 			grace = a.job.spec.SaveS
 		}
-		l.halt(a, grace)
+		l.stopWithGang(a, grace)
 	}
 	for _, as := range out.Assign {
 		j := back[as.Job]
@@ -408,7 +408,7 @@
 			}
 			took, runS := now.Sub(a.since).Seconds(), l.runS(a.job.spec)
 			if a.outcome == open && !a.stop && (slowFactor*runS-took > runS || took > slowFactor*runS) {
-				l.halt(a, a.job.spec.SaveS)
+				l.stopWithGang(a, a.job.spec.SaveS)
 				l.replan = true
 			}
 		}
@@ -458,7 +458,7 @@
 	l.count(a)
 	m.assigned[a.attempt] = a
 	j.tasks[n] = a
-	l.book.begins = append(l.book.begins, a)
+	l.log.begins = append(l.log.begins, a)
 	if !m.offer.Images[j.spec.Image] {
 		m.offer.Fetching[j.spec.Image] = j.spec.ImageGB
 	}
--- a/internal/control/production_test.go
+++ b/internal/control/production_test.go
@@ -122,14 +122,14 @@
 func TestContinuesProduction(t *testing.T) {
 	quiet(t)
 	pairs, specs, world := kept(t)
-	s := &pageStore{t: t, keys: map[string]state.Pair{}, value: 2 << 10, ops: 4}
+	s := &segmentStore{t: t, keys: map[string]state.Pair{}, value: 2 << 10, ops: 4}
 	for _, p := range pairs {
-		if strings.HasPrefix(p.Key, bookPrefix) {
+		if strings.HasPrefix(p.Key, logPrefix) {
 			s.keys[p.Key] = p
 		}
 		s.rev = max(s.rev, p.Mark)
 	}
-	l := bookLeader(s, 5, specs)
+	l := logLeader(s, 5, specs)
 	for _, line := range world {
 		task, m, on := strings.Cut(line, " on ")
 		if a := l.machines.byID[m]; on && (a == nil || !slices.ContainsFunc(slices.Collect(maps.Values(a.assigned)), func(a *assignment) bool { return a.name() == task })) {
@@ -154,7 +154,7 @@
 		}
 		if step%40 == 39 { // and leads for a while: its pages are as large as it likes
 			s.value, s.ops = 32<<10, 12
-			l = bookLeader(s, uint64(6+step), specs)
+			l = logLeader(s, uint64(6+step), specs)
 			for range 5 {
 				l.stir(rnd)
 				b := l.compose()
@@ -164,7 +164,7 @@
 				}
 			}
 			s.value, s.ops = 2<<10, 4
-			l = bookLeader(s, uint64(7+step), specs)
+			l = logLeader(s, uint64(7+step), specs)
 		}
 	}
 }
--- a/internal/control/scale_test.go
+++ b/internal/control/scale_test.go
@@ -38,8 +38,8 @@
 	l.lost(m, "not of this fleet")
 	l.machines.remove(m)
 	l.watch.Forget(m.id)
-	l.jobs, l.book = map[string]*job{}, book{}
-	l.readBook(nil)
+	l.jobs, l.log = map[string]*job{}, assignmentLog{}
+	l.readLog(nil)
 	spec := &jobs.Spec{ID: "j-7", Class: "sums", Team: "red", Shape: jobs.Batch, Priority: jobs.Standard, Tasks: size + 100, CPUs: 4, RAMGB: 8, EstimateS: 30, Spot: true, Image: "img"}
 	j := newJob(spec.ID, spec, 1, 0, now)
 	l.jobs[j.id] = j
@@ -70,9 +70,9 @@
 func TestWorkPerReport(t *testing.T) {
 	cost := func(size int) float64 {
 		l, reports, now := fleetOf(t, size)
-		l.replan, l.book.begins, l.pokes = false, nil, nil
+		l.replan, l.log.begins, l.notifyQueue = false, nil, nil
 		n := testing.AllocsPerRun(100, func() { again(l, reports[20], now) })
-		if l.replan || l.book.waiting() || len(l.pokes) > 0 {
+		if l.replan || l.log.waiting() || len(l.notifyQueue) > 0 {
 			t.Errorf("a report without news, in a fleet of %d, has more to come of it", size)
 		}
 		return n
@@ -107,7 +107,7 @@
 			l.over(a, retry)
 			l.forget(a)
 		}
-		l.book.begins, l.book.ends = nil, nil
+		l.log.begins, l.log.ends = nil, nil
 	}
 }
 
@@ -143,13 +143,13 @@
 }
 
 // A tick in which nothing waits and nothing has happened sets no memory aside for any
-// machine, in a beat in which each has its turn.
+// machine, in a control interval in which each has its turn.
 func TestWorkPerTick(t *testing.T) {
 	cost := func(size int) float64 {
 		l, _, now := fleetOf(t, size)
 		l.Publish = func(map[string]jobs.Counts) {}
 		l.unmet, l.shownAt = nil, now
-		return testing.AllocsPerRun(3*ticksABeat, func() {
+		return testing.AllocsPerRun(3*ticksPerInterval, func() {
 			l.fleetAt = time.Time{}
 			l.tick(t.Context(), now)
 		})
@@ -171,26 +171,26 @@
 	}
 }
 
-// written is the book of a leader as it stands in the state service when all that waits
+// written is the log of a leader as it stands in the state service when all that waits
 // is written.
 func written(l *Leader) []state.Pair {
-	pages := map[string]state.Pair{}
-	for rev := uint64(1); l.book.waiting(); rev++ {
-		l.book.grow(1)
+	segments := map[string]state.Pair{}
+	for rev := uint64(1); l.log.waiting(); rev++ {
+		l.log.grow(1)
 		batch := &batch{marks: map[string]func(uint64){}}
-		l.addPage(batch, 0, true)
+		l.addSegment(batch, 0, true)
 		for _, f := range batch.done {
 			f(rev)
 		}
-		l.book.turn(1)
+		l.log.rotate(1)
 		w := batch.writes[0]
-		pages[w.Set] = state.Pair{Key: w.Set, Value: w.Value, Mark: rev}
+		segments[w.Set] = state.Pair{Key: w.Set, Value: w.Value, Mark: rev}
 	}
-	return slices.Collect(maps.Values(pages))
+	return slices.Collect(maps.Values(segments))
 }
 
-// successor is the next leader, which has read the book but heard of no machine.
-func successor(l *Leader, pages []state.Pair, now time.Time, specs ...*jobs.Spec) *Leader {
+// successor is the next leader, which has read the log but heard of no machine.
+func successor(l *Leader, segments []state.Pair, now time.Time, specs ...*jobs.Spec) *Leader {
 	next := &Leader{
 		Deps: l.Deps, term: term.Term{Token: 6}, token: 6, fresh: now,
 		machines: newMachineSet(), used: map[string]placement.Amount{}, doubtful: map[*machine]bool{},
@@ -200,27 +200,27 @@
 	for _, s := range specs {
 		next.jobs[s.ID] = newJob(s.ID, s, 1, 0, now)
 	}
-	next.restore(next.readBook(pages), nil, now)
+	next.restore(next.readLog(segments), nil, now)
 	return next
 }
 
-// BenchmarkTakeOver reads a book of all machines.
+// BenchmarkTakeOver reads a log of all machines.
 func BenchmarkTakeOver(b *testing.B) {
 	l, _, now := fleetOf(b, largest)
-	pages := written(l)
+	segments := written(l)
 	spec, _ := json.Marshal(l.jobs["j-7"].spec)
 	bytes := 0
-	for _, p := range pages {
+	for _, p := range segments {
 		bytes += len(p.Value)
 	}
-	b.ReportMetric(float64(len(pages)), "pages")
+	b.ReportMetric(float64(len(segments)), "segments")
 	b.ReportMetric(float64(bytes), "bytes")
 	for b.Loop() {
 		var s jobs.Spec
 		if err := json.Unmarshal(spec, &s); err != nil {
 			b.Fatal(err)
 		}
-		if next := successor(l, pages, now, &s); len(next.machines.all) != largest {
+		if next := successor(l, segments, now, &s); len(next.machines.all) != largest {
 			b.Fatalf("%d machines restored", len(next.machines.all))
 		}
 	}
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -75,9 +75,9 @@
 
 func (l *Leader) status(now time.Time) *Status {
 	s := &Status{
-		Term: l.term.Token, Token: l.token, PictureS: l.pictureAge(now).Seconds(),
+		Term: l.term.Token, Token: l.token, PictureS: l.viewAge(now).Seconds(),
 		Held: l.watch.Held(now), Disrupted: l.watch.Disrupted(),
-		WriteQueue: len(l.finals) + len(l.book.begins) + len(l.book.ends) + len(l.book.chunks),
+		WriteQueue: len(l.finals) + len(l.log.begins) + len(l.log.ends) + len(l.log.chunks),
 		Machines:   []MachineStatus{}, Classes: []ClassStatus{}, Teams: []TeamStatus{},
 	}
 	for _, m := range l.machines.all {
--- a/internal/control/tasks.go
+++ b/internal/control/tasks.go
@@ -91,7 +91,7 @@
 	}) {
 		delete(m.offer.Fetching, j.spec.Image) // nobody waits for it any more
 	}
-	l.book.end(a)
+	l.log.end(a)
 	l.show(j)
 	l.replan = true
 	if j.isGang() {
@@ -126,7 +126,7 @@
 	ch.saved = false
 	if !ch.dirty {
 		ch.dirty = true
-		l.book.chunks = append(l.book.chunks, chunkRef{j, c})
+		l.log.chunks = append(l.log.chunks, chunkRef{j, c})
 	}
 }
 
@@ -157,7 +157,7 @@
 		l.over(a, retry)
 		return
 	}
-	l.poke(a.m)
+	l.notify(a.m)
 }
 
 // observe takes a worker's own picture of its machine. It returns false for an
@@ -180,7 +180,7 @@
 		m.doubtSince = time.Time{}
 		l.replan = true
 	}
-	m.session, m.seq, m.token, m.picture = r.Session, r.Seq, r.Token, r.Tasks
+	m.session, m.seq, m.token, m.reportedTasks = r.Session, r.Seq, r.Token, r.Tasks
 	m.addr, m.typ, m.zone, m.spot = r.Addr, r.Type, r.Zone, r.Spot
 	if r.NoticeS != nil {
 		l.notice(m, *r.NoticeS, now)
@@ -258,7 +258,7 @@
 		// a row is its user's mistake: it goes on being tried, ever more rarely.
 		j.errors++
 		m.failures[j.id] = true
-		m.shun(j.id, now.Add(l.Derived.Lease))
+		m.avoidFor(j.id, now.Add(l.Derived.Lease))
 		if j.errors > 2 {
 			j.notBefore = now.Add(min(l.Derived.Report<<min(j.errors-2, 6), l.Derived.Cancel))
 		}
@@ -268,7 +268,7 @@
 			l.capacity.Remove(m.offer)
 		}
 	default: // no_room, busy, unknown: refused, and worth another try soon
-		m.shun(j.id, now.Add(l.Derived.Report))
+		m.avoidFor(j.id, now.Add(l.Derived.Report))
 		if t.Cause == workers.CauseUnknown {
 			j.notBefore = now.Add(l.Derived.Report)
 		}
@@ -277,13 +277,13 @@
 	l.over(a, retry)
 }
 
-// shun keeps a job off a machine for a while.
-func (m *machine) shun(job string, until time.Time) {
+// avoidFor keeps a job off a machine for a while.
+func (m *machine) avoidFor(job string, until time.Time) {
 	m.avoid[job], m.offer.Avoid[job] = until, true
 }
 
-// unshun ends what is over by now.
-func (m *machine) unshun(now time.Time) (ended bool) {
+// endAvoidance ends what is over by now.
+func (m *machine) endAvoidance(now time.Time) (ended bool) {
 	for job, until := range m.avoid {
 		if now.After(until) {
 			delete(m.avoid, job)
@@ -310,9 +310,9 @@
 		switch s := a.job.spec; {
 		case a.job.isGang() && gang.Saves(s.CheckpntS, s.SaveS, l.Derived.GangPeer.Seconds(), inS),
 			!a.job.isGang() && s.CheckpntS > 0 && s.SaveS < inS:
-			l.halt(a, s.SaveS)
+			l.stopWithGang(a, s.SaveS)
 		case l.hopeless(a, inS, now):
-			l.halt(a, 0)
+			l.stopWithGang(a, 0)
 		}
 	}
 	l.replan = true
@@ -343,7 +343,7 @@
 
 // report answers a worker, or returns nil if this node has no right to.
 func (l *Leader) report(r *workers.Report, now time.Time) *workers.Answer {
-	if !l.Valid() || l.pictureAge(now) > l.Derived.WatchStale || r.Token > l.token {
+	if !l.Valid() || l.viewAge(now) > l.Derived.WatchStale || r.Token > l.token {
 		return nil
 	}
 	m := l.machines.byID[r.Machine]
@@ -383,7 +383,7 @@
 	if m.phase == booting {
 		l.booted(m, now)
 	}
-	l.heed(m, r, now)
+	l.checkDelivery(m, r, now)
 	l.watch.Heard(m.id, r.Zone, c, now)
 	if m.dead && !l.watch.Judged(m.id) {
 		m.dead = false
@@ -393,7 +393,7 @@
 	m.reported, m.orderFails = now, 0
 	l.updateCapacity(m, now)
 	calls := l.calls(m, true)
-	m.told = calls
+	m.lastCalls = calls
 	return &workers.Answer{Token: l.tokenFor(m), Calls: calls}
 }
 
@@ -413,15 +413,15 @@
 	return false
 }
 
-// mostUnheeded is how many answers in a row may go unheeded.
-const mostUnheeded = 2
+// mostUndelivered is how many answers in a row may go undelivered.
+const mostUndelivered = 2
 
-// heed finds machines whose reports arrive while our answers do not: what an
+// checkDelivery finds machines whose reports arrive while our answers do not: what an
 // answer asked for has not happened by the next report. Such a machine would
 // look healthy for ever, and task after task would be given to it in vain.
-func (l *Leader) heed(m *machine, r *workers.Report, now time.Time) {
-	heard := len(m.told) == 0
-	for _, c := range m.told {
+func (l *Leader) checkDelivery(m *machine, r *workers.Report, now time.Time) {
+	heard := len(m.lastCalls) == 0
+	for _, c := range m.lastCalls {
 		t := taskIn(r, ref{c.Task, c.Attempt})
 		a := m.find(ref{c.Task, c.Attempt})
 		switch {
@@ -436,13 +436,13 @@
 		}
 	}
 	switch {
-	case r.Session > m.session || len(m.told) == 0: // nothing to be learnt
+	case r.Session > m.session || len(m.lastCalls) == 0: // nothing to be learnt
 	case heard:
-		m.unheeded = 0
+		m.undelivered = 0
 		l.watch.Hears(m.id)
 	default:
-		m.unheeded++
-		if m.unheeded == mostUnheeded {
+		m.undelivered++
+		if m.undelivered == mostUndelivered {
 			slog.Info("machine does not hear", "machine", m.id, "term", l.token)
 			l.watch.Deaf(m.id)
 			l.replan = true
@@ -478,7 +478,7 @@
 		}
 	}
 	var held heldEnds
-	for _, t := range m.picture {
+	for _, t := range m.reportedTasks {
 		if m.find(refOf(&t)) != nil {
 			continue // its end is not durable yet
 		}
--- a/internal/control/write.go
+++ b/internal/control/write.go
@@ -41,7 +41,7 @@
 
 // flush starts the next transaction.
 func (l *Leader) flush(ctx context.Context, now time.Time) {
-	if l.writing || !l.raise && len(l.finals) == 0 && !l.book.waiting() || now.Sub(l.flushedAt) < l.Derived.FlushGap || !l.Valid() {
+	if l.writing || !l.raise && len(l.finals) == 0 && !l.log.waiting() || now.Sub(l.flushedAt) < l.Derived.FlushGap || !l.Valid() {
 		return
 	}
 	l.flushedAt = now
@@ -59,16 +59,16 @@
 // compose puts the next transaction together.
 func (l *Leader) compose() *batch {
 	b := &batch{marks: map[string]func(uint64){}}
-	l.book.grow(l.Derived.TxnOps / 2)
-	// The pages of a transaction whose outcome is open come first of all.
-	left := l.Derived.TxnOps - l.book.again
+	l.log.grow(l.Derived.TxnOps / 2)
+	// The segments of a transaction whose outcome is open come first of all.
+	left := l.Derived.TxnOps - l.log.again
 	if l.raise && left > 0 {
 		l.addToken(b)
 		left--
 	}
 	// Then ends of jobs, in half of the room if there is anything else.
 	limit := len(b.writes) + left
-	if l.book.again == 0 && l.book.news() {
+	if l.log.again == 0 && l.log.news() {
 		limit = len(b.writes) + max(1, left/2)
 	}
 	for len(l.finals) > 0 && len(b.writes) < limit {
@@ -76,16 +76,16 @@
 		l.finals = l.finals[1:]
 		l.addFinal(b, j)
 	}
-	pages := 0
-	for ; pages < len(l.book.pages) && len(b.writes) < l.Derived.TxnOps; pages++ {
-		must := pages < l.book.again
-		if !must && (!l.book.news() || b.bytes+l.book.most > txnBytes) {
+	segments := 0
+	for ; segments < len(l.log.segments) && len(b.writes) < l.Derived.TxnOps; segments++ {
+		must := segments < l.log.again
+		if !must && (!l.log.news() || b.bytes+l.log.most > txnBytes) {
 			break
 		}
-		l.addPage(b, pages, pages+1 >= l.book.again)
-		l.book.again = max(l.book.again, pages+1) // until the outcome is known
+		l.addSegment(b, segments, segments+1 >= l.log.again)
+		l.log.again = max(l.log.again, segments+1) // until the outcome is known
 	}
-	b.done = append(b.done, func(uint64) { l.book.turn(pages) })
+	b.done = append(b.done, func(uint64) { l.log.rotate(segments) })
 	b.guards = append(b.guards, state.Guard{Key: term.HolderKey, Mark: l.term.Mark})
 	return b
 }
@@ -143,7 +143,7 @@
 	}
 	if err != nil {
 		slog.Debug("records not written", "term", l.token, "reason", err)
-		l.book.open = l.book.open || !errors.Is(err, state.ErrRefused)
+		l.log.open = l.log.open || !errors.Is(err, state.ErrRefused)
 		if errors.Is(err, state.ErrRejected) {
 			l.rejected(b, err)
 		}
@@ -173,14 +173,14 @@
 		most = max(most, len(w.Value))
 	}
 	slog.Error("transaction rejected", "term", l.token, "writes", len(b.writes), "bytes", b.bytes, "largest", most, "reason", err)
-	if l.book.open {
-		// An earlier one may still be carried out, and its pages have to be written
+	if l.log.open {
+		// An earlier one may still be carried out, and its segments have to be written
 		// again. The end of the term is what makes sure that it is not.
 		l.resign = true
 		return
 	}
-	l.book.again = 0 // nothing of it was carried out
-	l.book.most = max(l.book.most/2, 2*usualBytes)
+	l.log.again = 0 // nothing of it was carried out
+	l.log.most = max(l.log.most/2, 2*usualBytes)
 }
 
 // reread learns the revisions of keys that were not as expected.
--- a/internal/settings/budget.go
+++ b/internal/settings/budget.go
@@ -62,8 +62,8 @@
 	sockets := []Use{
 		{"users and workers", int64(d.ServedConns)},
 		{"idle, to workers", int64(d.WorkerConns)},
-		{"orders on their way", int64(d.OrdersOut)},
-		{"calls on their way", int64(d.OrdersOut)},
+		{"orders on their way", int64(d.OrdersInFlight)},
+		{"calls on their way", int64(d.OrdersInFlight)},
 		{"state service", int64(d.StateConns)},
 		{"cloud", int64(d.CloudConns)},
 		{"other controllers", int64(eachPeer * len(s.Peers))},
--- a/internal/settings/derived.go
+++ b/internal/settings/derived.go
@@ -17,10 +17,10 @@
 // Derived holds every figure computed from the settings. Each is a ratio to a
 // figure handed over, so that one program serves deployments of any pace.
 type Derived struct {
-	Report time.Duration // a worker's report period
-	Beat   time.Duration // the leader's own pace: the report period, or the term's lease if that is shorter
-	Lease  time.Duration // a worker's lease
-	Cancel time.Duration // time until a cancelled task must be gone
+	Report          time.Duration // a worker's report period
+	ControlInterval time.Duration // the leader's own pace: the report period, or the term's lease if that is shorter
+	Lease           time.Duration // a worker's lease
+	Cancel          time.Duration // time until a cancelled task must be gone
 
 	LeaseOver time.Duration // a worker's lease, as measured by any clock but its own
 	SilentFor time.Duration // a machine unheard for so long looks dead
@@ -33,23 +33,23 @@
 	HoldGrace     time.Duration // how long one floor can hold all verdicts
 	VerdictGap    time.Duration // least time between two verdicts in a zone
 
-	TermLease   time.Duration // the term's lease in the state service
-	TermRenew   time.Duration // how often it is renewed
-	TermSafe    time.Duration // how long after a renewal was sent the term holds
-	WatchStale  time.Duration // a picture of the jobs older than this serves no worker
-	WatchWait   time.Duration // how long one watch waits
-	StateWait   time.Duration // how long one request to the state service may take
-	UserWait    time.Duration // how long one user's request may take in all
-	DoubtFor    time.Duration // an order without an answer is cleared up after so long
-	CloudWait   time.Duration
-	ListEvery   time.Duration
-	ChartersOut int // requests for machines on their way at a time
-	ListLag     time.Duration
-	FlushGap    time.Duration // least time between two transactions of the leader
-	CancelsKept int           // cancellations that each node remembers in order
-	PollGap     time.Duration // least time between two reads for users' polls
-	BeginBy     time.Duration // a job that got nothing for so long goes first
-	Lasting     time.Duration // a start counts if the task is not stopped for so long
+	TermLease       time.Duration // the term's lease in the state service
+	TermRenew       time.Duration // how often it is renewed
+	TermSafe        time.Duration // how long after a renewal was sent the term holds
+	WatchStale      time.Duration // a picture of the jobs older than this serves no worker
+	WatchWait       time.Duration // how long one watch waits
+	StateWait       time.Duration // how long one request to the state service may take
+	UserWait        time.Duration // how long one user's request may take in all
+	DoubtFor        time.Duration // an order without an answer is cleared up after so long
+	CloudWait       time.Duration
+	ListEvery       time.Duration
+	RentalsInFlight int // requests for machines on their way at a time
+	ListLag         time.Duration
+	FlushGap        time.Duration // least time between two transactions of the leader
+	CancelsKept     int           // cancellations that each node remembers in order
+	PollGap         time.Duration // least time between two reads for users' polls
+	BeginBy         time.Duration // a job that got nothing for so long goes first
+	Lasting         time.Duration // a start counts if the task is not stopped for so long
 
 	TxnOps     int
 	ValueBytes int
@@ -58,14 +58,14 @@
 	// RefuseBytes how much before new jobs are refused.
 	CollectBytes, RefuseBytes int64
 
-	ServedConns int           // of users and workers
-	IdleConns   time.Duration // how long one of these is kept without a request
-	WorkerConns int           // kept open to workers while idle
-	StateConns  int           // to the state service, kept while idle
-	CloudConns  int
-	GangPeer    time.Duration // within it all tasks of a gang must hear of its stop
-	OrdersOut   int           // orders on their way at a time, and as many calls
-	UserQueue   int
+	ServedConns    int           // of users and workers
+	IdleConns      time.Duration // how long one of these is kept without a request
+	WorkerConns    int           // kept open to workers while idle
+	StateConns     int           // to the state service, kept while idle
+	CloudConns     int
+	GangPeer       time.Duration // within it all tasks of a gang must hear of its stop
+	OrdersInFlight int           // orders on their way at a time, and as many calls
+	UserQueue      int
 }
 
 // Shares of what the state service takes.
@@ -94,15 +94,15 @@
 	// seconds on a silent node, and all of that within their lease. Users notice
 	// the gap, too, however seldom the workers report.
 	term := min(lease/4, report*3/2, workerWait*5/8)
-	beat := min(report, term)
+	interval := min(report, term)
 	lag := seconds(d.Cloud.ListLagS)
 	store := d.State.Within()
 	value := int(store.ValueKB * 1024)
 	return Derived{
-		Report: report,
-		Beat:   beat,
-		Lease:  lease,
-		Cancel: cancel,
+		Report:          report,
+		ControlInterval: interval,
+		Lease:           lease,
+		Cancel:          cancel,
 
 		LeaseOver: time.Duration(float64(lease)*(1+clockDrift)) + min(report/10, (cancel-lease)/8),
 		SilentFor: times(report, s.Operator.SilentReports),
@@ -121,15 +121,15 @@
 		TermSafe:  time.Duration(float64(term)*(1-clockDrift)) - term/20,
 		// A cancellation that the leader has not seen may outlast its own
 		// picture by a whole worker lease; half of the rest is kept in hand.
-		WatchStale:  (cancel - lease) / 2,
-		WatchWait:   (cancel - lease) / 8,
-		StateWait:   term / 2,
-		UserWait:    4 * time.Second * 2 / 5, // polls wait 2 s, submissions 5 s
-		DoubtFor:    report,
-		CloudWait:   2 * lag,
-		ListEvery:   lag / 2,
-		ChartersOut: max(2, int(d.Cloud.RPS*beat.Seconds()/2)),
-		ListLag:     lag,
+		WatchStale:      (cancel - lease) / 2,
+		WatchWait:       (cancel - lease) / 8,
+		StateWait:       term / 2,
+		UserWait:        4 * time.Second * 2 / 5, // polls wait 2 s, submissions 5 s
+		DoubtFor:        report,
+		CloudWait:       2 * lag,
+		ListEvery:       lag / 2,
+		RentalsInFlight: max(2, int(d.Cloud.RPS*interval.Seconds()/2)),
+		ListLag:         lag,
 
 		// Transactions in a row would spend the write rate on small ones.
 		FlushGap: seconds(flushWrites / store.WriteRPS),
@@ -152,12 +152,12 @@
 
 		ServedConns: d.Limits.servedConns(),
 		// Users poll and workers report several times in it.
-		IdleConns:   max(times(report, s.Operator.SilentReports), cancel/2),
-		WorkerConns: max(leastIdle, d.Limits.MaxSockets/16),
-		StateConns:  min(max(leastState, d.Limits.MaxSockets/64), mostState),
-		CloudConns:  cloudConns,
-		OrdersOut:   max(leastOrders, d.Limits.MaxSockets/32),
-		UserQueue:   max(8, d.Limits.MaxSockets/16),
+		IdleConns:      max(times(report, s.Operator.SilentReports), cancel/2),
+		WorkerConns:    max(leastIdle, d.Limits.MaxSockets/16),
+		StateConns:     min(max(leastState, d.Limits.MaxSockets/64), mostState),
+		CloudConns:     cloudConns,
+		OrdersInFlight: max(leastOrders, d.Limits.MaxSockets/32),
+		UserQueue:      max(8, d.Limits.MaxSockets/16),
 	}
 }
 
