--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"maps"
 	"sync"
@@ -501,7 +502,7 @@
 			}
 		}
 		rev, changes, err := l.Store.Watch(ctx, jobs.RecordPrefix, after, l.Derived.WatchWait)
-		if err == state.ErrCompacted {
+		if errors.Is(err, state.ErrCompacted) {
 			var pairs []state.Pair
 			if pairs, rev, err = l.Store.List(ctx, jobs.RecordPrefix); err == nil {
 				for _, p := range pairs {
--- a/internal/gang/gang.go
+++ b/internal/gang/gang.go
@@ -14,6 +14,7 @@
 // Verdict is what to do with an attempt.
 type Verdict int
 
+// The verdicts.
 const (
 	Hold Verdict = iota // no task may start yet
 	Go                  // every task may start, or go on
--- a/internal/jobs/spec.go
+++ b/internal/jobs/spec.go
@@ -3,10 +3,8 @@
 package jobs
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
-	"math"
 	"regexp"
 	"slices"
 
@@ -99,97 +97,6 @@
 // Ends tells whether the job's tasks run to completion.
 func (s *Spec) Ends() bool { return s.Shape != Service }
 
-// ParseSpec reads a submission. Its errors are the user's mistakes.
-func ParseSpec(raw []byte) (*Spec, error) {
-	var in struct {
-		ID        *string   `json:"id"`
-		Class     *string   `json:"flock"`
-		Team      *string   `json:"crew"`
-		Shape     *string   `json:"shape"`
-		Priority  *string   `json:"rank"`
-		Tasks     *int      `json:"talons"`
-		CPUs      *float64  `json:"vcpus"`
-		GPUs      *float64  `json:"gpus"`
-		RAMGB     *float64  `json:"ramGb"`
-		Image     *string   `json:"plumage"`
-		ImageGB   *float64  `json:"imageGb"`
-		Types     []*string `json:"perches"`
-		Zone      *string   `json:"eyrie"`
-		OneZone   *bool     `json:"samePlace"`
-		Spread    *bool     `json:"scatter"`
-		Spot      *bool     `json:"driftwood"`
-		EstimateS *float64  `json:"flightS"`
-		CheckpntS *float64  `json:"roostS"`
-		SaveS     *float64  `json:"stashS"`
-		DeadlineS *float64  `json:"duskS"`
-	}
-	if err := json.Unmarshal(raw, &in); err != nil {
-		return nil, err
-	}
-	var errs []error
-	bad := func(field, want string) { errs = append(errs, fmt.Errorf("%s must be %s", field, want)) }
-	text := func(field string, v *string) string {
-		if v == nil || *v == "" {
-			bad(field, "a string that is not empty")
-			return ""
-		}
-		return *v
-	}
-	amount := func(field string, v *float64) float64 {
-		if v == nil || !(*v >= 0) || math.IsInf(*v, 0) {
-			bad(field, "a number of at least 0")
-			return 0
-		}
-		return *v
-	}
-	flag := func(field string, v *bool) bool {
-		if v == nil {
-			bad(field, "true or false")
-			return false
-		}
-		return *v
-	}
-	s := &Spec{
-		ID: text("id", in.ID), Class: text("flock", in.Class), Team: text("crew", in.Team),
-		Shape: text("shape", in.Shape), Priority: text("rank", in.Priority),
-		CPUs: amount("vcpus", in.CPUs), GPUs: amount("gpus", in.GPUs), RAMGB: amount("ramGb", in.RAMGB),
-		Image: text("plumage", in.Image), ImageGB: amount("imageGb", in.ImageGB),
-		OneZone: flag("samePlace", in.OneZone), Spread: flag("scatter", in.Spread), Spot: flag("driftwood", in.Spot),
-		EstimateS: amount("flightS", in.EstimateS), CheckpntS: amount("roostS", in.CheckpntS), SaveS: amount("stashS", in.SaveS),
-	}
-	if s.ID != "" && !ValidID(s.ID) {
-		bad("id", "of the form j-000412")
-	}
-	if in.Tasks == nil || *in.Tasks < 1 || *in.Tasks > MaxTasks {
-		bad("talons", fmt.Sprintf("an integer from 1 to %d", MaxTasks))
-	} else {
-		s.Tasks = *in.Tasks
-	}
-	if s.Shape != "" && !slices.Contains(shapes, s.Shape) {
-		bad("shape", fmt.Sprintf("one of %v", shapes))
-	}
-	if s.Priority != "" && !slices.Contains(priorities, s.Priority) {
-		bad("rank", fmt.Sprintf("one of %v", priorities))
-	}
-	for _, t := range in.Types {
-		s.Types = append(s.Types, text("perches", t))
-	}
-	if in.Types != nil && len(in.Types) == 0 {
-		bad("perches", "null or a list that is not empty")
-	}
-	if in.Zone != nil {
-		s.Zone = text("eyrie", in.Zone)
-	}
-	if in.DeadlineS != nil {
-		d := amount("duskS", in.DeadlineS)
-		s.DeadlineS = &d
-	}
-	if err := errors.Join(errs...); err != nil {
-		return nil, err
-	}
-	return s, nil
-}
-
 // MachineType is an entry of the cloud's catalog.
 type MachineType struct {
 	Name      string   `json:"label"`
--- a/internal/node/cost_test.go
+++ b/internal/node/cost_test.go
@@ -30,8 +30,6 @@
 type loopback struct {
 	tb      testing.TB
 	addr    string
-	mu      sync.Mutex
-	rented  []jobs.MachineType
 	fleet   []*fakeWorker
 	counter int
 }
--- a/internal/placement/fit.go
+++ b/internal/placement/fit.go
@@ -42,20 +42,18 @@
 	return want
 }
 
-// reserve keeps others off the machines with most room.
-func (in *Input) reserve(j *Job, n int) (kept int) {
-	for kept < n {
+// reserve keeps others off the machines with most room, up to n of them.
+func (in *Input) reserve(j *Job, n int) {
+	for range n {
 		m := in.Index.roomiest(func(m *Machine) bool {
 			_, taken := in.touched[m]
 			return !taken && m.Total.Fits(Of(j.Spec)) && m.open(j)
 		})
 		if m == nil {
-			return kept
+			return
 		}
 		in.setFree(m, Amount{})
-		kept++
 	}
-	return kept
 }
 
 // setFree changes what is free on a machine for the time of this plan.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -130,7 +130,7 @@
 	if t.overdue {
 		// What is too large for the room that others leave now and then would
 		// wait for ever: a machine is kept from them until it has that room.
-		left -= in.reserve(j, left)
+		in.reserve(j, left)
 		return
 	}
 	if left > 0 {
--- a/internal/placement/preemption.go
+++ b/internal/placement/preemption.go
@@ -154,7 +154,7 @@
 	}
 	var order []*Placed
 	for _, v := range m.Tasks {
-		if mayStop(in, j, v) && !(in.spare && v.Job.Spec.Shape == jobs.Gang) {
+		if mayStop(in, j, v) && (!in.spare || v.Job.Spec.Shape != jobs.Gang) {
 			order = append(order, v)
 		}
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,10 +3,7 @@
 package settings
 
 import (
-	"errors"
 	"fmt"
-	"math"
-	"net"
 	"slices"
 	"time"
 
@@ -144,97 +141,6 @@
 	return &s, nil
 }
 
-// What the records need: a page of the book has to hold some assignments, and a
-// transaction the token, the end of a job and two pages.
-const (
-	leastOps     = 4
-	leastValueKB = 0.5
-)
-
-func (s *Settings) check() error {
-	var errs []error
-	bad := func(format string, args ...any) { errs = append(errs, fmt.Errorf(format, args...)) }
-	positive := func(name string, v float64) {
-		if !(v > 0) || math.IsInf(v, 0) {
-			bad("%s must be a finite number above 0, is %v", name, v)
-		}
-	}
-	address := func(name, v string) {
-		if _, _, err := net.SplitHostPort(v); err != nil {
-			bad("%s must be host:port, is %q", name, v)
-		}
-	}
-	if s.Node == "" {
-		bad("node_name is missing")
-	}
-	address("bind", s.Listen)
-	address("cluster_listen", s.ClusterListen)
-	address("endpoints.cloud", s.Endpoints.Cloud)
-	address("endpoints.state", s.Endpoints.State)
-	for i, p := range s.Peers {
-		if p.Node == "" || p.Node == s.Node {
-			bad("peers[%d].node_name must name another node, is %q", i, p.Node)
-		}
-		address(fmt.Sprintf("peers[%d].peer_addr", i), p.Addr)
-	}
-	d := &s.Deployment
-	if len(d.Zones) == 0 {
-		bad("deployment.zones is empty")
-	}
-	seen := map[string]bool{}
-	for i, t := range d.Teams {
-		if t.Name == "" || seen[t.Name] {
-			bad("deployment.teams[%d].name must be set and unique, is %q", i, t.Name)
-		}
-		seen[t.Name] = true
-		for name, v := range map[string]float64{"cpus": t.CPUs, "cpus_max": t.CPUsMax, "gpus": t.GPUs, "gpus_max": t.GPUsMax} {
-			if !(v >= 0) || math.IsInf(v, 0) {
-				bad("deployment.teams[%d].%s must be a finite number of at least 0, is %v", i, name, v)
-			}
-		}
-	}
-	positive("deployment.workers.report_s", d.Workers.ReportS)
-	positive("deployment.workers.lease_s", d.Workers.LeaseS)
-	positive("deployment.workers.cancel_s", d.Workers.CancelS)
-	positive("deployment.state.rps", d.State.RPS)
-	positive("deployment.state.write_rps", d.State.WriteRPS)
-	positive("deployment.state.value_kb", d.State.ValueKB)
-	ops := func(name string, v int) {
-		if v < leastOps {
-			bad("%s must be at least %d, is %d", name, leastOps, v)
-		}
-	}
-	ops("deployment.state.txn_ops", d.State.TxnOps)
-	if n := d.State.Next; n != nil {
-		for name, v := range map[string]*float64{"rps": n.RPS, "write_rps": n.WriteRPS, "value_kb": n.ValueKB} {
-			if v != nil {
-				positive("deployment.state.next."+name, *v)
-			}
-		}
-		if n.TxnOps != nil {
-			ops("deployment.state.next.txn_ops", *n.TxnOps)
-		}
-	}
-	if kb := d.State.Within().ValueKB; kb > 0 && kb < leastValueKB {
-		bad("deployment.state.value_kb, and next.value_kb, must be at least %v, is %v", leastValueKB, kb)
-	}
-	for name, v := range map[string]*float64{"gang_wait_s": d.Workers.GangWaitS, "gang_peer_s": d.Workers.GangPeerS} {
-		if v != nil {
-			positive("deployment.workers."+name, *v)
-		}
-	}
-	positive("deployment.cloud.rps", d.Cloud.RPS)
-	positive("deployment.cloud.list_lag_s", d.Cloud.ListLagS)
-	positive("deployment.machine_limits.memory_mb", d.Limits.MemoryMB)
-	if d.Limits.MemoryMB > 0 {
-		s.checkLimits(bad)
-	}
-	if d.Workers.CancelS <= d.Workers.LeaseS {
-		bad("deployment.workers.cancel_s (%v) must exceed lease_s (%v)", d.Workers.CancelS, d.Workers.LeaseS)
-	}
-	return errors.Join(errs...)
-}
-
 // Team returns the team of that name.
 func (s *Settings) Team(name string) (Team, bool) {
 	i := slices.IndexFunc(s.Deployment.Teams, func(t Team) bool { return t.Name == name })
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -107,7 +107,7 @@
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	if err := c.reqs.Wait(ctx); err != nil {
-		return 0, fmt.Errorf("%w: request budget: %w: %v", ErrRefused, ErrBusy, err)
+		return 0, fmt.Errorf("%w: request budget: %w: %w", ErrRefused, ErrBusy, err)
 	}
 	return c.send(ctx, method, path, in, out)
 }
@@ -117,13 +117,13 @@
 	if in != nil {
 		raw, err := json.Marshal(in)
 		if err != nil {
-			return 0, fmt.Errorf("%w: %v", ErrRefused, err)
+			return 0, fmt.Errorf("%w: %w", ErrRefused, err)
 		}
 		body = bytes.NewReader(raw)
 	}
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
 	if err != nil {
-		return 0, fmt.Errorf("%w: %v", ErrRefused, err)
+		return 0, fmt.Errorf("%w: %w", ErrRefused, err)
 	}
 	if in != nil {
 		req.Header.Set("Content-Type", "application/json")
@@ -131,7 +131,7 @@
 	resp, err := c.http.Do(req)
 	if err != nil {
 		c.failing.Store(true)
-		return 0, fmt.Errorf("%w: %v", ErrUnknown, err)
+		return 0, fmt.Errorf("%w: %w", ErrUnknown, err)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode == http.StatusServiceUnavailable {
@@ -155,7 +155,7 @@
 	}
 	// What a rejected request is told is for the log only.
 	if err != nil && resp.StatusCode != http.StatusBadRequest {
-		return resp.StatusCode, fmt.Errorf("%w: %v", ErrUnknown, err)
+		return resp.StatusCode, fmt.Errorf("%w: %w", ErrUnknown, err)
 	}
 	return resp.StatusCode, nil
 }
@@ -236,7 +236,7 @@
 	defer cancel()
 	if n := len(writes); n > 0 {
 		if err := c.writes.WaitN(ctx, min(n, c.writes.Burst())); err != nil {
-			return 0, nil, fmt.Errorf("%w: write budget: %v", ErrRefused, err)
+			return 0, nil, fmt.Errorf("%w: write budget: %w", ErrRefused, err)
 		}
 	}
 	in := struct {
--- a/internal/term/promise.go
+++ b/internal/term/promise.go
@@ -32,7 +32,7 @@
 func (p *promise) campaign(now time.Time, first bool, after uint64) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if now.Before(p.until) && !(p.fromEarlier && first) {
+	if now.Before(p.until) && (!p.fromEarlier || !first) {
 		return false
 	}
 	p.open, p.after = true, after
