Revisions are named so; what is read of the term is a type

No behaviour changes: the protocol's word for a revision stands in tags only, and the keeper hands over one value where it handed over six.

--- a/internal/control/assignment_log.go
+++ b/internal/control/assignment_log.go
@@ -24,15 +24,15 @@
 
 // segment is one segment's place in the ring and what is on it that may still be true.
 type segment struct {
-	key   string
-	mark  uint64
-	bytes int // as it stands there
-	begun map[uint64]*assignment
-	done  map[chunkRef]bool
+	key      string
+	revision uint64
+	bytes    int // as it stands there
+	begun    map[uint64]*assignment
+	done     map[chunkRef]bool
 }
 
-func newSegment(key string, mark uint64) *segment {
-	return &segment{key: key, mark: mark, begun: map[uint64]*assignment{}, done: map[chunkRef]bool{}}
+func newSegment(key string, revision uint64) *segment {
+	return &segment{key: key, revision: revision, begun: map[uint64]*assignment{}, done: map[chunkRef]bool{}}
 }
 
 // assignmentLog is the ring of segments, the oldest first, and what waits to be written.
@@ -88,7 +88,7 @@
 	limit := float64(max(k.most/carryShare, leastCarry*usualBytes))
 	for ; k.again == 0 && k.carry > limit && most > 0; most-- {
 		blank := 0
-		for blank < len(k.segments) && k.segments[blank].mark == 0 {
+		for blank < len(k.segments) && k.segments[blank].revision == 0 {
 			blank++
 		}
 		k.segments = slices.Insert(k.segments, blank, k.blank())
--- a/internal/control/assignment_log_test.go
+++ b/internal/control/assignment_log_test.go
@@ -28,7 +28,7 @@
 // apply carries out a transaction, or returns the guards that failed.
 func (s *segmentStore) apply(b *batch) (failed []string) {
 	for _, g := range b.guards {
-		if s.keys[g.Key].Mark != g.Mark {
+		if s.keys[g.Key].Revision != g.Revision {
 			failed = append(failed, g.Key)
 		}
 	}
@@ -43,7 +43,7 @@
 		if len(w.Value) > s.value {
 			s.t.Fatalf("%s is written with %d bytes, %d are allowed", w.Set, len(w.Value), s.value)
 		}
-		s.keys[w.Set] = state.Pair{Key: w.Set, Value: w.Value, Mark: s.rev}
+		s.keys[w.Set] = state.Pair{Key: w.Set, Value: w.Value, Revision: s.rev}
 	}
 	return nil
 }
@@ -224,21 +224,21 @@
 // copy that is carried out late, after newer ones or under the next leader, fails.
 func TestEveryWriteIsGuarded(t *testing.T) {
 	l, m, j, now := bench()
-	l.term.Mark, l.tokenMark, j.mark = 77, 78, 79
+	l.term.Revision, l.tokenRevision, j.revision = 77, 78, 79
 	l.readLog(nil)
 	l.raise = true
 	l.finals = append(l.finals, j)
 	l.assign(j, j.take(), m, now) // its beginning is to be written
 	b := l.compose()
-	marks := map[string]uint64{}
+	revisions := map[string]uint64{}
 	for _, g := range b.guards {
-		marks[g.Key] = g.Mark
+		revisions[g.Key] = g.Revision
 	}
-	if marks[term.HolderKey] != 77 || marks[term.TokenKey] != 78 || marks[jobs.RecordKey(j.id)] != 79 {
-		t.Errorf("guards: %v", marks)
+	if revisions[term.HolderKey] != 77 || revisions[term.TokenKey] != 78 || revisions[jobs.RecordKey(j.id)] != 79 {
+		t.Errorf("guards: %v", revisions)
 	}
 	for _, w := range b.writes {
-		if _, guarded := marks[w.Set]; !guarded || w.Remove != "" {
+		if _, guarded := revisions[w.Set]; !guarded || w.Remove != "" {
 			t.Errorf("%s%s is written unguarded", w.Set, w.Remove)
 		}
 	}
--- a/internal/control/gangs_test.go
+++ b/internal/control/gangs_test.go
@@ -163,7 +163,7 @@
 		t.Errorf("%d done, final %v, %d to be written", j.doneCount, j.final, len(l.finals))
 	}
 	b := l.compose()
-	if a := j.tasks[2]; !a.closing || len(b.marks) < 2 {
+	if a := j.tasks[2]; !a.closing || len(b.revisions) < 2 {
 		t.Error("the end of the task is not in the transaction that says that the job is done")
 	}
 }
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -166,19 +166,19 @@
 	seen     atomic.Uint64     // as are all changes up to this revision
 	unseen   map[string]uint64 // jobs known to be cancelled at a later revision
 
-	writing   bool
-	stuck     bool // the last transaction was not executed, as far as is known
-	tokenMark uint64
-	raise     bool
-	doubtful  map[*machine]bool // with a doubtSince, and some that had one
-	expireAt  time.Time         // no worker's lease ends before
-	raisedAt  time.Time
-	clearHeld bool // an end is not cleared, for want of a higher token
-	mayResign bool
-	resign    bool
-	finals    []*job
-	log       assignmentLog
-	flushedAt time.Time
+	writing       bool
+	stuck         bool // the last transaction was not executed, as far as is known
+	tokenRevision uint64
+	raise         bool
+	doubtful      map[*machine]bool // with a doubtSince, and some that had one
+	expireAt      time.Time         // no worker's lease ends before
+	raisedAt      time.Time
+	clearHeld     bool // an end is not cleared, for want of a higher token
+	mayResign     bool
+	resign        bool
+	finals        []*job
+	log           assignmentLog
+	flushedAt     time.Time
 
 	tickGroup        int // of the ticks in a control interval
 	capacity         placement.CapacityIndex
@@ -225,7 +225,7 @@
 // Lead does one term's work until the context ends.
 func (g *Gate) Lead(ctx context.Context, d Deps, t term.Term) {
 	l := &Leader{
-		Deps: d, term: t, token: t.Token, tokenMark: t.TokenMark,
+		Deps: d, term: t, token: t.Token, tokenRevision: t.TokenRevision,
 		reports: make(chan reportIn, 16), events: make(chan func(time.Time), 64), quit: make(chan struct{}),
 		jobs: map[string]*job{}, machines: newMachineSet(), used: map[string]placement.Amount{},
 		queued: map[*job]bool{}, renting: map[fleet.Kind]int{}, refused: map[fleet.Kind]refusal{}, gone: map[string]time.Time{}, runs: map[string]*runs{},
@@ -335,7 +335,7 @@
 		}
 		id := jobs.IDOf(p.Key)
 		if !rec.Over() && rec.Spec != nil {
-			l.jobs[id] = newJob(id, rec.Spec, p.Mark, rec.AtMs, now)
+			l.jobs[id] = newJob(id, rec.Spec, p.Revision, rec.AtMs, now)
 			return
 		}
 		over++
@@ -472,7 +472,7 @@
 			// Done: what is left of it on the machine ends by itself.
 			old.Spec = &jobs.Spec{ID: t.Job, Tasks: t.N + 1, Shape: jobs.Batch}
 		}
-		j = newJob(t.Job, old.Spec, ended[t.Job].Mark, 0, now)
+		j = newJob(t.Job, old.Spec, ended[t.Job].Revision, 0, now)
 		j.cancelled = true
 		l.jobs[t.Job] = j
 	}
@@ -506,7 +506,7 @@
 			var pairs []state.Pair
 			if pairs, rev, err = l.Store.List(ctx, jobs.RecordPrefix); err == nil {
 				for _, p := range pairs {
-					changes = append(changes, state.Change{Set: p.Key, Value: p.Value, Mark: p.Mark})
+					changes = append(changes, state.Change{Set: p.Key, Value: p.Value, Revision: p.Revision})
 				}
 			}
 		}
@@ -555,7 +555,7 @@
 
 func (l *Leader) cancelled(j *job, revision uint64) {
 	slog.Info("job cancelled", "job", j.id, "term", l.token)
-	j.cancelled, j.mark, j.heard = true, revision, time.Now()
+	j.cancelled, j.revision, j.heard = true, revision, time.Now()
 	l.cancelTasks(j)
 }
 
@@ -571,16 +571,16 @@
 	id := jobs.IDOf(c.Set)
 	j := l.jobs[id]
 	switch {
-	case j == nil && l.unseen[id] > c.Mark: // cancelled since
+	case j == nil && l.unseen[id] > c.Revision: // cancelled since
 	case j == nil && !rec.Over() && rec.Spec != nil:
-		j = newJob(id, rec.Spec, c.Mark, rec.AtMs, now)
+		j = newJob(id, rec.Spec, c.Revision, rec.AtMs, now)
 		l.jobs[id] = j
 		l.show(j)
 		l.queue(j)
 		l.arrived(j, 0, now)
 		l.replan, l.uncovered = true, true
 	case j != nil && rec.Stance == jobs.Cancelled && !j.cancelled:
-		l.cancelled(j, c.Mark)
+		l.cancelled(j, c.Revision)
 	}
 }
 
@@ -597,7 +597,7 @@
 	if !j.over() || len(j.tasks) > 0 || l.jobs[j.id] != j {
 		return
 	}
-	if j.final && !j.cancelled && j.mark != 0 {
+	if j.final && !j.cancelled && j.revision != 0 {
 		return // its record is still to be written
 	}
 	delete(l.jobs, j.id)
--- a/internal/control/log_records.go
+++ b/internal/control/log_records.go
@@ -58,7 +58,7 @@
 	k := &l.log
 	*k = assignmentLog{most: min(l.Derived.ValueBytes, txnBytes/2) * 15 / 16, keys: map[string]bool{}}
 	for _, pair := range pairs {
-		r := read{p: newSegment(pair.Key, pair.Mark)}
+		r := read{p: newSegment(pair.Key, pair.Revision)}
 		r.p.bytes = len(pair.Value)
 		k.keys[pair.Key] = true
 		if err := jsonv2.Unmarshal(pair.Value, &r.rec); err != nil {
--- a/internal/control/log_writer.go
+++ b/internal/control/log_writer.go
@@ -104,7 +104,7 @@
 		l.fill(b, d)
 	}
 	raw, _ := json.Marshal(d.rec)
-	b.add(p.key, p.mark, raw, func(mark uint64) { p.mark = mark })
+	b.add(p.key, p.revision, raw, func(revision uint64) { p.revision = revision })
 	b.undo = append(b.undo, func() { k.takeBack(l, d) })
 	b.done = append(b.done, func(rev uint64) { p.bytes = len(raw); l.segmentWritten(p, d, rev) })
 }
@@ -199,7 +199,7 @@
 
 // segmentWritten takes in that a segment was written.
 func (l *Leader) segmentWritten(p *segment, d *segmentBuilder, rev uint64) {
-	p.mark = rev
+	p.revision = rev
 	clear(p.begun)
 	clear(p.done)
 	for _, a := range d.kept {
@@ -235,10 +235,10 @@
 // transaction that is being put together.
 func (l *Leader) completionSaved(b *batch, a *assignment) bool {
 	j := a.job
-	if j.cancelled || j.final && j.mark == 0 {
+	if j.cancelled || j.final && j.revision == 0 {
 		return true
 	}
-	if _, ok := b.marks[jobs.RecordKey(j.id)]; ok {
+	if _, ok := b.revisions[jobs.RecordKey(j.id)]; ok {
 		return true
 	}
 	ch := j.chunks[a.n/l.Derived.ChunkTasks]
--- a/internal/control/model.go
+++ b/internal/control/model.go
@@ -17,7 +17,7 @@
 type job struct {
 	id        string
 	spec      *jobs.Spec
-	mark      uint64 // revision of its record
+	revision  uint64 // of its record
 	order     uint64 // revision of its acceptance
 	atMs      int64
 	cancelled bool
@@ -57,9 +57,9 @@
 	c int
 }
 
-func newJob(id string, spec *jobs.Spec, mark uint64, atMs int64, now time.Time) *job {
+func newJob(id string, spec *jobs.Spec, revision uint64, atMs int64, now time.Time) *job {
 	return &job{
-		id: id, spec: spec, mark: mark, order: mark, atMs: atMs, waiting: spec.Tasks, served: now, whole: now,
+		id: id, spec: spec, revision: revision, order: revision, atMs: atMs, waiting: spec.Tasks, served: now, whole: now,
 		done: make([]uint64, (spec.Tasks+63)/64), chunks: map[int]*chunk{},
 		tasks: map[int]*assignment{}, zones: map[string]int{},
 	}
--- a/internal/control/production_test.go
+++ b/internal/control/production_test.go
@@ -97,7 +97,7 @@
 		if err := json.Unmarshal(lines.Bytes(), &p); err != nil {
 			t.Fatal(err)
 		}
-		p.Mark = uint64(len(pairs) + 1)
+		p.Revision = uint64(len(pairs) + 1)
 		pairs = append(pairs, p)
 		if id := jobs.IDOf(p.Key); id != p.Key {
 			var rec jobs.Record
@@ -127,7 +127,7 @@
 		if strings.HasPrefix(p.Key, logPrefix) {
 			s.keys[p.Key] = p
 		}
-		s.rev = max(s.rev, p.Mark)
+		s.rev = max(s.rev, p.Revision)
 	}
 	l := logLeader(s, 5, specs)
 	for _, line := range world {
--- a/internal/control/scale_test.go
+++ b/internal/control/scale_test.go
@@ -177,14 +177,14 @@
 	segments := map[string]state.Pair{}
 	for rev := uint64(1); l.log.waiting(); rev++ {
 		l.log.grow(1)
-		batch := &batch{marks: map[string]func(uint64){}}
+		batch := &batch{revisions: map[string]func(uint64){}}
 		l.addSegment(batch, 0, true)
 		for _, f := range batch.done {
 			f(rev)
 		}
 		l.log.rotate(1)
 		w := batch.writes[0]
-		segments[w.Set] = state.Pair{Key: w.Set, Value: w.Value, Mark: rev}
+		segments[w.Set] = state.Pair{Key: w.Set, Value: w.Value, Revision: rev}
 	}
 	return slices.Collect(maps.Values(segments))
 }
--- a/internal/control/write.go
+++ b/internal/control/write.go
@@ -24,19 +24,19 @@
 // what comes meanwhile goes into the next, so that a scarce write rate makes
 // batches larger, not queues longer.
 type batch struct {
-	guards []state.Guard
-	writes []state.Write
-	bytes  int
-	undo   []func()                // not executed: queue it all again
-	done   []func(revision uint64) // executed
-	marks  map[string]func(mark uint64)
+	guards    []state.Guard
+	writes    []state.Write
+	bytes     int
+	undo      []func()                // not executed: queue it all again
+	done      []func(revision uint64) // executed
+	revisions map[string]func(revision uint64)
 }
 
-func (b *batch) add(key string, mark uint64, value json.RawMessage, learn func(uint64)) {
-	b.guards = append(b.guards, state.Guard{Key: key, Mark: mark})
+func (b *batch) add(key string, revision uint64, value json.RawMessage, learn func(uint64)) {
+	b.guards = append(b.guards, state.Guard{Key: key, Revision: revision})
 	b.writes = append(b.writes, state.Write{Set: key, Value: value})
 	b.bytes += 2*len(key) + len(value)
-	b.marks[key] = learn
+	b.revisions[key] = learn
 }
 
 // flush starts the next transaction.
@@ -58,7 +58,7 @@
 
 // compose puts the next transaction together.
 func (l *Leader) compose() *batch {
-	b := &batch{marks: map[string]func(uint64){}}
+	b := &batch{revisions: map[string]func(uint64){}}
 	l.log.grow(l.Derived.TxnOps / 2)
 	// The segments of a transaction whose outcome is open come first of all.
 	left := l.Derived.TxnOps - l.log.again
@@ -86,7 +86,7 @@
 		l.log.again = max(l.log.again, segments+1) // until the outcome is known
 	}
 	b.done = append(b.done, func(uint64) { l.log.rotate(segments) })
-	b.guards = append(b.guards, state.Guard{Key: term.HolderKey, Mark: l.term.Mark})
+	b.guards = append(b.guards, state.Guard{Key: term.HolderKey, Revision: l.term.Revision})
 	return b
 }
 
@@ -95,14 +95,14 @@
 	l.raise = false
 	b.undo = append(b.undo, func() { l.raise = true })
 	b.done = append(b.done, func(rev uint64) {
-		l.token, l.tokenMark = next, rev
+		l.token, l.tokenRevision = next, rev
 		l.clearHeld = false
 		l.Raised(next)
 		slog.Info("token raised", "term", l.token, "reason", "an order may still arrive")
 	})
-	b.add(term.TokenKey, l.tokenMark, json.RawMessage(strconv.FormatUint(next, 10)), func(m uint64) {
+	b.add(term.TokenKey, l.tokenRevision, json.RawMessage(strconv.FormatUint(next, 10)), func(m uint64) {
 		// Ours, from an attempt whose outcome was unknown.
-		l.token, l.tokenMark = next, m
+		l.token, l.tokenRevision = next, m
 		l.Raised(next)
 	})
 }
@@ -112,7 +112,7 @@
 		return // its user was faster
 	}
 	rec := jobs.Record{Tasks: j.spec.Tasks, Spec: j.spec}
-	b.add(jobs.RecordKey(j.id), j.mark, rec.Ended(jobs.Done, l.Derived.ValueBytes), func(uint64) {})
+	b.add(jobs.RecordKey(j.id), j.revision, rec.Ended(jobs.Done, l.Derived.ValueBytes), func(uint64) {})
 	b.undo = append(b.undo, func() { l.finals = append(l.finals, j) })
 	b.done = append(b.done, func(uint64) {
 		slog.Debug("job done", "job", j.id, "term", l.token)
@@ -121,7 +121,7 @@
 }
 
 func (l *Leader) finalDone(j *job) {
-	j.mark = 0
+	j.revision = 0
 	l.settled(j)
 }
 
@@ -204,8 +204,8 @@
 func (l *Leader) relearn(b *batch, key string, p state.Pair) {
 	id := jobs.IDOf(key)
 	if id == key { // not a job's record
-		if learn := b.marks[key]; learn != nil {
-			learn(p.Mark)
+		if learn := b.revisions[key]; learn != nil {
+			learn(p.Revision)
 		}
 		return
 	}
@@ -220,7 +220,7 @@
 		l.finalDone(j)
 	case jobs.Cancelled:
 		if !j.cancelled {
-			l.cancelled(j, p.Mark)
+			l.cancelled(j, p.Revision)
 		}
 	}
 }
--- a/internal/jobs/api.go
+++ b/internal/jobs/api.go
@@ -106,8 +106,8 @@
 	if err := jsonv2.Unmarshal(p.Value, &rec); err != nil {
 		return nil, 0, err
 	}
-	a.Cache.set(p.Key, p.Value, p.Mark) // before anybody is told
-	return &rec, p.Mark, nil
+	a.Cache.set(p.Key, p.Value, p.Revision) // before anybody is told
+	return &rec, p.Revision, nil
 }
 
 func (a *API) stance(id string, rec *Record) string {
@@ -244,7 +244,7 @@
 		return
 	}
 	a.retry(ctx, w, func() (bool, error) {
-		rec, mark, err := a.read(ctx, id)
+		rec, revision, err := a.read(ctx, id)
 		switch {
 		case err != nil:
 			return false, err
@@ -256,7 +256,7 @@
 			return true, nil
 		}
 		ended := rec.Ended(Cancelled, a.Derived.ValueBytes)
-		rev, failed, err := a.Store.Commit(ctx, []state.Guard{{Key: RecordKey(id), Mark: mark}},
+		rev, failed, err := a.Store.Commit(ctx, []state.Guard{{Key: RecordKey(id), Revision: revision}},
 			[]state.Write{{Set: RecordKey(id), Value: ended}})
 		if err != nil || len(failed) > 0 {
 			return false, err
--- a/internal/jobs/brief.go
+++ b/internal/jobs/brief.go
@@ -4,9 +4,9 @@
 
 // brief is what a poll needs of a job's record.
 type brief struct {
-	stance string
-	tasks  int
-	mark   uint64 // revision of the record
+	stance   string
+	tasks    int
+	revision uint64 // of the record
 }
 
 // briefTable holds a brief of every job there ever was. Records are never removed, so
@@ -24,13 +24,13 @@
 // Layout of the two words: the digits of an id as a number over how many there are,
 // and the revision over tasks and stance.
 const (
-	mostDigits = 16 // 10^16 takes 54 bits
-	lengthBits = 5
-	stanceBits = 2
-	taskBits   = 17
-	mostTasks  = 1<<taskBits - 1
-	mostMark   = 1<<(64-taskBits-stanceBits) - 1
-	idPrefix   = "j-"
+	mostDigits   = 16 // 10^16 takes 54 bits
+	lengthBits   = 5
+	stanceBits   = 2
+	taskBits     = 17
+	mostTasks    = 1<<taskBits - 1
+	mostRevision = 1<<(64-taskBits-stanceBits) - 1
+	idPrefix     = "j-"
 )
 
 // stances are numbered by their place; a record of none of them counts as no stance.
@@ -53,12 +53,12 @@
 
 // pack returns a brief as one word, if it fits.
 func (b brief) pack() (word uint64, ok bool) {
-	if b.tasks < 0 || b.tasks > mostTasks || b.mark > mostMark {
+	if b.tasks < 0 || b.tasks > mostTasks || b.revision > mostRevision {
 		return 0, false
 	}
 	for i, s := range stances {
 		if s == b.stance {
-			return b.mark<<(taskBits+stanceBits) | uint64(b.tasks)<<stanceBits | uint64(i), true
+			return b.revision<<(taskBits+stanceBits) | uint64(b.tasks)<<stanceBits | uint64(i), true
 		}
 	}
 	return 0, false
@@ -66,9 +66,9 @@
 
 func unpack(word uint64) brief {
 	return brief{
-		stance: stances[word&(1<<stanceBits-1)],
-		tasks:  int(word >> stanceBits & mostTasks),
-		mark:   word >> (taskBits + stanceBits),
+		stance:   stances[word&(1<<stanceBits-1)],
+		tasks:    int(word >> stanceBits & mostTasks),
+		revision: word >> (taskBits + stanceBits),
 	}
 }
 
--- a/internal/jobs/brief_test.go
+++ b/internal/jobs/brief_test.go
@@ -13,16 +13,16 @@
 func TestBriefTable(t *testing.T) {
 	table, plain := newBriefTable(), map[string]brief{}
 	ids := []string{"j-0", "j-00", "j-1", "j-01", "j-000412", "j-412", "j-" + strings.Repeat("9", 16), "j-" + strings.Repeat("9", 17), "j-" + strings.Repeat("0", 40), "j-", "j-1x", "x-1", ""}
-	marks := []uint64{0, 1, 412, mostMark, mostMark + 1, math.MaxUint64}
+	revisions := []uint64{0, 1, 412, mostRevision, mostRevision + 1, math.MaxUint64}
 	tasks := []int{0, 1, MaxTasks, mostTasks, mostTasks + 1, -1}
 	n := 0
-	for _, mark := range marks {
+	for _, revision := range revisions {
 		for _, count := range tasks {
 			for i, id := range ids {
 				if (i+n)%3 == 0 {
 					continue // not every job has every record
 				}
-				b := brief{stance: stances[(i+n)%len(stances)], tasks: count, mark: mark}
+				b := brief{stance: stances[(i+n)%len(stances)], tasks: count, revision: revision}
 				table.set(id, b)
 				plain[id] = b
 			}
--- a/internal/jobs/cache.go
+++ b/internal/jobs/cache.go
@@ -141,7 +141,7 @@
 			}
 			for _, c := range changes {
 				if c.Set != "" {
-					m.set(c.Set, c.Value, c.Mark)
+					m.set(c.Set, c.Value, c.Revision)
 				}
 			}
 			m.revision = max(m.revision, revision)
@@ -162,7 +162,7 @@
 // list reads all records. They are never removed, so that what is known of them
 // is only added to.
 func (m *Cache) list(ctx context.Context) error {
-	revision, err := m.store.Each(ctx, RecordPrefix, func(p state.Pair) { m.set(p.Key, p.Value, p.Mark) })
+	revision, err := m.store.Each(ctx, RecordPrefix, func(p state.Pair) { m.set(p.Key, p.Value, p.Revision) })
 	if err != nil {
 		return err
 	}
@@ -175,7 +175,7 @@
 
 // set takes in a record. Changes that the list was ahead of come once more after
 // it: they must not turn an answer back while they are taken in.
-func (m *Cache) set(key string, value json.RawMessage, mark uint64) {
+func (m *Cache) set(key string, value json.RawMessage, revision uint64) {
 	var rec struct {
 		Stance string `json:"stance"`
 		Tasks  int    `json:"tasks"`
@@ -184,7 +184,7 @@
 		slog.Error("job record unreadable", "key", key, "reason", err)
 		return
 	}
-	b := brief{tasks: rec.Tasks, mark: mark}
+	b := brief{tasks: rec.Tasks, revision: revision}
 	for _, s := range []string{Queued, Done, Cancelled} {
 		if s == rec.Stance {
 			b.stance = s // one copy of the text for all jobs
@@ -194,12 +194,12 @@
 	defer m.mu.Unlock()
 	id := IDOf(key)
 	old, _ := m.jobs.get(id)
-	if old.mark > mark {
+	if old.revision > revision {
 		return
 	}
 	m.jobs.set(id, b)
-	if b.stance == Cancelled && old.mark < mark {
-		m.remember(Cancellation{id, mark})
+	if b.stance == Cancelled && old.revision < revision {
+		m.remember(Cancellation{id, revision})
 	}
 }
 
--- a/internal/jobs/cache_test.go
+++ b/internal/jobs/cache_test.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	if _, failed, err := c.other.Commit(c.t.Context(), []state.Guard{{Key: jobs.RecordKey(id), Mark: p.Mark}}, []state.Write{{Set: jobs.RecordKey(id), Value: value}}); err != nil || len(failed) > 0 {
+	if _, failed, err := c.other.Commit(c.t.Context(), []state.Guard{{Key: jobs.RecordKey(id), Revision: p.Revision}}, []state.Write{{Set: jobs.RecordKey(id), Value: value}}); err != nil || len(failed) > 0 {
 		c.t.Fatal(err, failed)
 	}
 }
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -12,16 +12,16 @@
 )
 
 type entry struct {
-	value json.RawMessage
-	mark  uint64
-	lease uint64
+	value    json.RawMessage
+	revision uint64
+	lease    uint64
 }
 
 type change struct {
-	Set    string          `json:"set,omitempty"`
-	Value  json.RawMessage `json:"value,omitempty"`
-	Remove string          `json:"remove,omitempty"`
-	Mark   uint64          `json:"mark"`
+	Set      string          `json:"set,omitempty"`
+	Value    json.RawMessage `json:"value,omitempty"`
+	Remove   string          `json:"remove,omitempty"`
+	Revision uint64          `json:"mark"`
 }
 
 type lease struct {
@@ -149,7 +149,7 @@
 	defer s.mu.Unlock()
 	s.rev++
 	s.keys[key] = entry{value, s.rev, 0}
-	s.log = append(s.log, change{Set: key, Value: value, Mark: s.rev})
+	s.log = append(s.log, change{Set: key, Value: value, Revision: s.rev})
 	s.wake()
 }
 
@@ -200,7 +200,7 @@
 	s.rev++
 	for _, k := range gone {
 		delete(s.keys, k)
-		s.log = append(s.log, change{Remove: k, Mark: s.rev})
+		s.log = append(s.log, change{Remove: k, Revision: s.rev})
 	}
 	s.wake()
 }
@@ -240,7 +240,7 @@
 			send(w, http.StatusNotFound, map[string]uint64{"tide": s.rev})
 			return
 		}
-		send(w, http.StatusOK, map[string]any{"k": key, "value": e.value, "mark": e.mark})
+		send(w, http.StatusOK, map[string]any{"k": key, "value": e.value, "mark": e.revision})
 	case path == "/commit":
 		s.commit(w, r)
 	case path == "/grants":
@@ -287,7 +287,7 @@
 			more = true
 			break
 		}
-		pairs = append(pairs, map[string]any{"k": k, "value": s.keys[k].value, "mark": s.keys[k].mark})
+		pairs = append(pairs, map[string]any{"k": k, "value": s.keys[k].value, "mark": s.keys[k].revision})
 	}
 	send(w, http.StatusOK, map[string]any{"pairs": pairs, "hasNext": more, "tide": s.rev})
 }
@@ -295,8 +295,8 @@
 func (s *State) commit(w http.ResponseWriter, r *http.Request) {
 	var in struct {
 		Guards []struct {
-			Key  string `json:"k"`
-			Mark uint64 `json:"mark"`
+			Key      string `json:"k"`
+			Revision uint64 `json:"mark"`
 		} `json:"guards"`
 		Writes []struct {
 			Set    string          `json:"set"`
@@ -322,7 +322,7 @@
 	}
 	var failed []string
 	for _, g := range in.Guards {
-		if s.keys[g.Key].mark != g.Mark {
+		if s.keys[g.Key].revision != g.Revision {
 			failed = append(failed, g.Key)
 		}
 	}
@@ -342,10 +342,10 @@
 	for _, p := range in.Writes {
 		if p.Set != "" {
 			s.keys[p.Set] = entry{p.Value, s.rev, p.Lease}
-			s.log = append(s.log, change{Set: p.Set, Value: p.Value, Mark: s.rev})
+			s.log = append(s.log, change{Set: p.Set, Value: p.Value, Revision: s.rev})
 		} else if _, ok := s.keys[p.Remove]; ok {
 			delete(s.keys, p.Remove)
-			s.log = append(s.log, change{Remove: p.Remove, Mark: s.rev})
+			s.log = append(s.log, change{Remove: p.Remove, Revision: s.rev})
 		}
 	}
 	s.wake()
@@ -361,7 +361,7 @@
 	deadline := time.After(time.Duration(wait) * time.Millisecond)
 	s.mu.Lock()
 	refused := s.down || s.refuse[r.RemoteAddr]
-	compacted := len(s.log) > s.keep && after < s.log[len(s.log)-s.keep].Mark-1
+	compacted := len(s.log) > s.keep && after < s.log[len(s.log)-s.keep].Revision-1
 	s.mu.Unlock()
 	switch {
 	case refused:
@@ -376,15 +376,15 @@
 		s.mu.Lock()
 		out, rev := []change{}, after
 		cut := max(0, len(s.log)-s.lag)
-		for cut > 0 && cut < len(s.log) && s.log[cut-1].Mark == s.log[cut].Mark {
+		for cut > 0 && cut < len(s.log) && s.log[cut-1].Revision == s.log[cut].Revision {
 			cut-- // a transaction is shown whole or not at all
 		}
 		if shown := s.log[:cut]; !s.down && !s.refuse[r.RemoteAddr] {
 			for _, c := range shown {
-				if c.Mark > after && strings.HasPrefix(c.Set+c.Remove, q.Get("prefix")) {
+				if c.Revision > after && strings.HasPrefix(c.Set+c.Remove, q.Get("prefix")) {
 					out = append(out, c)
 				}
-				rev = max(rev, c.Mark)
+				rev = max(rev, c.Revision)
 			}
 		}
 		changed := s.changed
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -39,16 +39,16 @@
 
 // Pair is a key, its value and the revision of its last change.
 type Pair struct {
-	Key   string          `json:"k"`
-	Value json.RawMessage `json:"value"`
-	Mark  uint64          `json:"mark"`
-	Lease uint64          `json:"tether,omitempty"`
+	Key      string          `json:"k"`
+	Value    json.RawMessage `json:"value"`
+	Revision uint64          `json:"mark"`
+	Lease    uint64          `json:"tether,omitempty"`
 }
 
 // Guard demands that a key is at a revision; 0 demands its absence.
 type Guard struct {
-	Key  string `json:"k"`
-	Mark uint64 `json:"mark"`
+	Key      string `json:"k"`
+	Revision uint64 `json:"mark"`
 }
 
 // Write sets or removes one key.
@@ -61,10 +61,10 @@
 
 // Change is one entry of a watch.
 type Change struct {
-	Set    string          `json:"set"`
-	Value  json.RawMessage `json:"value"`
-	Remove string          `json:"remove"`
-	Mark   uint64          `json:"mark"`
+	Set      string          `json:"set"`
+	Value    json.RawMessage `json:"value"`
+	Remove   string          `json:"remove"`
+	Revision uint64          `json:"mark"`
 }
 
 // Client is safe for use by many goroutines.
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -35,10 +35,10 @@
 
 // Term is one time of leadership.
 type Term struct {
-	Token     uint64
-	Mark      uint64 // revision of HolderKey
-	TokenMark uint64 // revision of TokenKey
-	Since     time.Time
+	Token         uint64
+	Revision      uint64 // revision of HolderKey
+	TokenRevision uint64 // revision of TokenKey
+	Since         time.Time
 }
 
 // Timing is how long the lease lasts and how it is kept.
@@ -120,27 +120,27 @@
 	var standDown time.Time
 	for ctx.Err() == nil {
 		asked := time.Now()
-		holder, mark, tokenMark, token, rev, err := k.read(ctx)
+		s, err := k.read(ctx)
 		if err != nil {
 			slog.Debug("term not read", "reason", err)
 			k.pause(ctx)
 			continue
 		}
-		k.holder.Store(holder)
+		k.holder.Store(s.holder)
 		k.listened(asked)
-		k.promised.know(token)
+		k.promised.know(s.token)
 		// Our own key from an earlier life is free to take: its holder is gone.
-		own := holder != nil && holder.Node == k.node
-		if holder != nil && !own {
-			k.follow(ctx, rev, k.timing.WatchWait)
+		own := s.holder != nil && s.holder.Node == k.node
+		if s.holder != nil && !own {
+			k.follow(ctx, s.revision, k.timing.WatchWait)
 			continue
 		}
-		now := time.Now()
-		if left := max(standDown.Sub(now), k.promised.left(now, own || tokenMark == 0)); left > 0 {
-			k.follow(ctx, rev, min(left, k.timing.WatchWait))
+		now, first := time.Now(), own || s.tokenRevision == 0
+		if left := max(standDown.Sub(now), k.promised.left(now, first)); left > 0 {
+			k.follow(ctx, s.revision, min(left, k.timing.WatchWait))
 			continue
 		}
-		t, lease, sent, err := k.take(ctx, mark, tokenMark, token, own || tokenMark == 0)
+		t, lease, sent, err := k.take(ctx, s, first)
 		if err != nil {
 			slog.Debug("term not taken", "reason", err)
 			k.pause(ctx)
@@ -152,26 +152,38 @@
 	}
 }
 
-func (k *Keeper) read(ctx context.Context) (h *Holder, mark, tokenMark, token, rev uint64, err error) {
-	pairs, rev, err := k.store.List(ctx, prefix)
+// stored is what the state service has of the term.
+type stored struct {
+	holder         *Holder // nil if nobody holds it
+	holderRevision uint64
+	token          uint64 // the highest ever given out
+	tokenRevision  uint64 // 0 if nobody ever held it
+	revision       uint64 // as of which all this was read
+}
+
+func (k *Keeper) read(ctx context.Context) (stored, error) {
+	pairs, revision, err := k.store.List(ctx, prefix)
 	if err != nil {
-		return nil, 0, 0, 0, 0, err
+		return stored{}, err
 	}
+	s := stored{revision: revision}
 	for _, p := range pairs {
+		var into any
 		switch p.Key {
 		case HolderKey:
-			h, mark = new(Holder), p.Mark
-			if err := json.Unmarshal(p.Value, h); err != nil {
-				return nil, 0, 0, 0, 0, fmt.Errorf("%s: %w", HolderKey, err)
-			}
+			s.holder, s.holderRevision = new(Holder), p.Revision
+			into = s.holder
 		case TokenKey:
-			tokenMark = p.Mark
-			if err := json.Unmarshal(p.Value, &token); err != nil {
-				return nil, 0, 0, 0, 0, fmt.Errorf("%s: %w", TokenKey, err)
-			}
+			s.tokenRevision = p.Revision
+			into = &s.token
+		default:
+			continue
+		}
+		if err := json.Unmarshal(p.Value, into); err != nil {
+			return stored{}, fmt.Errorf("%s: %w", p.Key, err)
 		}
 	}
-	return h, mark, tokenMark, token, rev, nil
+	return s, nil
 }
 
 // follow waits until something about the term changes.
@@ -189,28 +201,30 @@
 	}
 }
 
-func (k *Keeper) take(ctx context.Context, mark, tokenMark, token uint64, first bool) (Term, uint64, time.Time, error) {
+// take campaigns for the term on what was read of it. It returns the term, its lease and
+// when that was asked for. First is true if no promise of an earlier life can matter.
+func (k *Keeper) take(ctx context.Context, s stored, first bool) (Term, uint64, time.Time, error) {
 	sent := time.Now()
 	lease, err := k.store.Grant(ctx, k.timing.Lease)
 	if err != nil {
 		return Term{}, 0, sent, fmt.Errorf("grant: %w", err)
 	}
-	h := Holder{Node: k.node, Life: k.life, Token: token + 1}
+	h := Holder{Node: k.node, Life: k.life, Token: s.token + 1}
 	value, _ := json.Marshal(h)
 	next, _ := json.Marshal(h.Token)
-	if !k.promised.campaign(time.Now(), first, token) {
+	if !k.promised.campaign(time.Now(), first, s.token) {
 		_ = k.store.Revoke(ctx, lease)
 		return Term{}, 0, sent, errors.New("promised not to")
 	}
 	rev, failed, err := k.store.Commit(ctx,
-		[]state.Guard{{Key: HolderKey, Mark: mark}, {Key: TokenKey, Mark: tokenMark}},
+		[]state.Guard{{Key: HolderKey, Revision: s.holderRevision}, {Key: TokenKey, Revision: s.tokenRevision}},
 		[]state.Write{{Set: HolderKey, Value: value, Lease: lease}, {Set: TokenKey, Value: next}})
 	if !errors.Is(err, state.ErrUnknown) {
 		k.promised.settled()
 	}
 	if err == nil && len(failed) == 0 {
 		k.promised.know(h.Token)
-		return Term{Token: h.Token, Mark: rev, TokenMark: rev, Since: time.Now()}, lease, sent, nil
+		return Term{Token: h.Token, Revision: rev, TokenRevision: rev, Since: time.Now()}, lease, sent, nil
 	}
 	// An unknown outcome is not pursued: should the transaction be applied
 	// late, its lease is no longer renewed and the key falls free by itself.
