--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -168,7 +168,7 @@
 		Have:  have,
 		Refused: func(k fleet.Kind) bool {
 			// What boots in a zone that is cut off is paid for and cannot be used.
-			return now.Before(l.refused[k].until) || l.watch.ZoneDark(k.Zone, now, 2*l.Derived.Cancel)
+			return now.Before(l.refused[k].until) || l.watch.ZoneSilent(k.Zone, now, 2*l.Derived.Cancel)
 		},
 	})
 	for _, k := range fleet.Sorted(plan) {
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -235,7 +235,7 @@
 	l.watch = liveness.New(liveness.Config{
 		SilentFor: d.Derived.SilentFor, LeaseOver: d.Derived.LeaseOver,
 		HoldGrace: d.Derived.HoldGrace, Gap: d.Derived.VerdictGap, ZoneSize: smallZone,
-		Overdue: d.Derived.Overdue, Dark: d.Derived.ZoneDark, Weight: l.services,
+		Overdue: d.Derived.Overdue, GroupSilent: d.Derived.ZoneSilent, Weight: l.services,
 	})
 	ctx, stop := context.WithCancel(ctx)
 	var duties sync.WaitGroup
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -117,7 +117,7 @@
 		return
 	}
 	m.undelivered, m.orderFails = 0, 0
-	l.watch.Hears(m.id)
+	l.watch.Reachable(m.id)
 	l.watch.Answered(m.id, counter(r))
 	l.observe(m, r, now)
 	for _, a := range m.assigned {
--- a/internal/control/tasks.go
+++ b/internal/control/tasks.go
@@ -439,12 +439,12 @@
 	case r.Session > m.session || len(m.lastCalls) == 0: // nothing to be learnt
 	case heard:
 		m.undelivered = 0
-		l.watch.Hears(m.id)
+		l.watch.Reachable(m.id)
 	default:
 		m.undelivered++
 		if m.undelivered == mostUndelivered {
 			slog.Info("machine does not hear", "machine", m.id, "term", l.token)
-			l.watch.Deaf(m.id)
+			l.watch.Unreachable(m.id)
 			l.replan = true
 		}
 	}
--- a/internal/liveness/liveness.go
+++ b/internal/liveness/liveness.go
@@ -19,7 +19,7 @@
 	ZoneSize  int
 	// A machine whose report is overdue, or of whose zone nobody is heard, is
 	// called before it has been silent for as long as SilentFor.
-	Overdue, Dark time.Duration
+	Overdue, GroupSilent time.Duration
 	// Weight tells how much depends on a machine: the more, the earlier its turn to
 	// be called and judged. Nil takes all for equal.
 	Weight func(id string) int
@@ -40,7 +40,7 @@
 const (
 	CallFailed Reason = "call failed"
 	NoNewer    Reason = "no report missed"
-	Dawdles    Reason = "reports stay away"
+	ReportsLag Reason = "reports stay away"
 )
 
 // Verdict is a confirmed death.
@@ -50,31 +50,31 @@
 }
 
 type machine struct {
-	id        string
-	at        int // index into Watch.all
-	zone      *zone
-	heard     time.Time // when its last report came
-	known     Counter   // of the newest message seen
-	calls     uint64    // calls sent since then: each raises the counter once
-	synced    bool      // has reported to this leader
-	calling   bool
-	callAfter time.Time // one answer is enough for a while
-	confirmed Reason    // set: dead, the verdict awaits its turn
-	since     time.Time // when it was confirmed
-	judged    bool      // the verdict is out
-	floor     Counter   // set: the report that ends the hold
-	holdUntil time.Time // a floor holds no longer than this
-	dawdles   bool      // a hold ran out on it; it may not cause another
-	suspect   bool      // there are signs that it is gone: it is called before it falls silent
-	deaf      bool      // its reports arrive, but it does not hear us
+	id          string
+	at          int // index into Watch.all
+	zone        *zone
+	heard       time.Time // when its last report came
+	known       Counter   // of the newest message seen
+	calls       uint64    // calls sent since then: each raises the counter once
+	synced      bool      // has reported to this leader
+	calling     bool
+	callAfter   time.Time // one answer is enough for a while
+	confirmed   Reason    // set: dead, the verdict awaits its turn
+	since       time.Time // when it was confirmed
+	judged      bool      // the verdict is out
+	floor       Counter   // set: the report that ends the hold
+	holdUntil   time.Time // a floor holds no longer than this
+	lagging     bool      // a hold ran out on it; it may not cause another
+	suspect     bool      // there are signs that it is gone: it is called before it falls silent
+	unreachable bool      // its reports arrive, but it does not hear us
 }
 
 // zone is what the machines of one zone have in common.
 type zone struct {
-	machines  int       // in the picture
-	heard     time.Time // the last report of any machine that was in it
-	darkSince time.Time // set while nobody of it is heard
-	pacer     *Pacer    // of its verdicts; nil before the first
+	machines    int       // in the picture
+	heard       time.Time // the last report of any machine that was in it
+	silentSince time.Time // set while nobody of it is heard
+	pacer       *Pacer    // of its verdicts; nil before the first
 }
 
 // Watch keeps the picture of all machines. One goroutine owns it.
@@ -153,9 +153,9 @@
 	}
 	m.heard, m.known, m.calls = now, c, 0
 	w.lastHeard = now
-	m.zone.heard, m.zone.darkSince = now, time.Time{}
-	m.synced, m.dawdles, m.suspect = true, false, false
-	if !m.deaf {
+	m.zone.heard, m.zone.silentSince = now, time.Time{}
+	m.synced, m.lagging, m.suspect = true, false, false
+	if !m.unreachable {
 		m.judged, m.confirmed = false, ""
 	}
 	if w.disrupted {
@@ -187,18 +187,18 @@
 	}
 }
 
-// Deaf takes in that a machine's reports arrive but our answers do not. It does
+// Unreachable takes in that a machine's reports arrive but our answers do not. It does
 // not look healthy by its reports any more, until something reaches it again.
-func (w *Watch) Deaf(id string) {
+func (w *Watch) Unreachable(id string) {
 	if m := w.machines[id]; m != nil {
-		m.deaf = true
+		m.unreachable = true
 	}
 }
 
-// Hears takes in that something has reached a machine.
-func (w *Watch) Hears(id string) {
-	if m := w.machines[id]; m != nil && m.deaf {
-		m.deaf, m.judged, m.confirmed = false, false, ""
+// Reachable takes in that something has reached a machine.
+func (w *Watch) Reachable(id string) {
+	if m := w.machines[id]; m != nil && m.unreachable {
+		m.unreachable, m.judged, m.confirmed = false, false, ""
 	}
 }
 
@@ -209,10 +209,10 @@
 }
 
 // Placeable tells whether work may go to a machine: it has reported to this
-// leader and is neither silent, dead nor dawdling.
+// leader and is neither silent, dead nor lagging.
 func (w *Watch) Placeable(id string, now time.Time) bool {
 	m := w.machines[id]
-	return m != nil && m.synced && !m.judged && !m.dawdles && m.confirmed == "" && !w.looksDead(m, now)
+	return m != nil && m.synced && !m.judged && !m.lagging && m.confirmed == "" && !w.looksDead(m, now)
 }
 
 // Held tells whether a floor holds all verdicts.
@@ -238,42 +238,42 @@
 
 // looksDead tells whether a machine is to be called.
 func (w *Watch) looksDead(m *machine, now time.Time) bool {
-	return m.suspect || m.deaf || w.silent(m, now)
+	return m.suspect || m.unreachable || w.silent(m, now)
 }
 
-// darkLeast is how many machines a zone needs for its silence to say more than
+// leastGroup is how many machines a zone needs for its silence to say more than
 // that of each: the periods of a few may fall together.
-const darkLeast = 4
+const leastGroup = 4
 
-// dark tells whether so many machines have been unheard for so long that what
+// silentGroup tells whether so many machines have been unheard for so long that what
 // lies between them and us, or all of them, must be gone.
-func (w *Watch) dark(machines int, heard, now time.Time) bool {
-	return w.cfg.Dark > 0 && machines >= darkLeast && !heard.IsZero() && now.Sub(heard) > w.cfg.Dark
+func (w *Watch) silentGroup(machines int, heard, now time.Time) bool {
+	return w.cfg.GroupSilent > 0 && machines >= leastGroup && !heard.IsZero() && now.Sub(heard) > w.cfg.GroupSilent
 }
 
-// ZoneDark tells whether a zone fell dark within the last while and nobody in it
+// ZoneSilent tells whether a zone fell silent within the last while and nobody in it
 // has been heard since, even if all its machines were given back.
-func (w *Watch) ZoneDark(zone string, now time.Time, while time.Duration) bool {
+func (w *Watch) ZoneSilent(zone string, now time.Time, while time.Duration) bool {
 	z := w.zones[zone]
-	return z != nil && !z.darkSince.IsZero() && now.Sub(z.darkSince) < while
+	return z != nil && !z.silentSince.IsZero() && now.Sub(z.silentSince) < while
 }
 
 // missed tells whether a report that should have come did not. That alone says
 // little; the machine is called.
 func (w *Watch) missed(m *machine, now time.Time) bool {
-	return m.synced && (w.cfg.Overdue > 0 && now.Sub(m.heard) > w.cfg.Overdue || w.dark(m.zone.machines, m.zone.heard, now))
+	return m.synced && (w.cfg.Overdue > 0 && now.Sub(m.heard) > w.cfg.Overdue || w.silentGroup(m.zone.machines, m.zone.heard, now))
 }
 
 // Tick returns the machines to call now, as many as may be, and the verdicts to
 // carry out.
 func (w *Watch) Tick(now time.Time, most int) (calls []string, verdicts []Verdict) {
-	if !w.disrupted && (w.allSilent(now) || w.dark(len(w.all), w.lastHeard, now)) {
+	if !w.disrupted && (w.allSilent(now) || w.silentGroup(len(w.all), w.lastHeard, now)) {
 		w.disrupted = true
 		w.setPace(1, 0, now)
 	}
 	for _, z := range w.zones {
-		if z.darkSince.IsZero() && w.dark(z.machines, z.heard, now) {
-			z.darkSince = now
+		if z.silentSince.IsZero() && w.silentGroup(z.machines, z.heard, now) {
+			z.silentSince = now
 		}
 	}
 	held := false
@@ -292,7 +292,7 @@
 		}
 		// The grace is over and the report never came: this machine's lag says
 		// nothing about the others, and it may not hold them up again.
-		m.floor, m.dawdles = Counter{}, true
+		m.floor, m.lagging = Counter{}, true
 	}
 	w.order(ids)
 	for _, id := range ids {
@@ -347,7 +347,7 @@
 		return
 	}
 	m.suspect = false
-	w.Hears(id)
+	w.Reachable(id)
 	if !w.silent(m, now) {
 		if m.known.Before(c) {
 			m.known, m.calls = c, 0
@@ -367,14 +367,14 @@
 		m.known, m.calls = c, 0
 	}
 	switch {
-	case ahead && !m.dawdles:
+	case ahead && !m.lagging:
 		if m.floor == (Counter{}) {
 			m.floor = c
 			m.holdUntil = now.Add(w.cfg.HoldGrace)
 		}
 		m.callAfter = now.Add(w.cfg.HoldGrace / 2)
-	case m.dawdles:
-		m.confirmed, m.since = Dawdles, now
+	case m.lagging:
+		m.confirmed, m.since = ReportsLag, now
 	default:
 		m.confirmed, m.since = NoNewer, now
 	}
--- a/internal/liveness/trace_test.go
+++ b/internal/liveness/trace_test.go
@@ -48,7 +48,7 @@
 	defer in.Close()
 	cfg := traceConfig
 	if raw, err := os.ReadFile(file); err != nil || strings.Contains(string(raw), "(dark)") {
-		cfg.Dark = 2 * time.Second // elsewhere zones are too small for it to matter
+		cfg.GroupSilent = 2 * time.Second // elsewhere zones are too small for it to matter
 	}
 	weights := map[string]int{}
 	cfg.Weight = func(id string) int { return weights[id] }
@@ -79,7 +79,7 @@
 		case "suspect":
 			w.Suspect(f[2])
 		case "deaf":
-			w.Deaf(f[2])
+			w.Unreachable(f[2])
 		case "weighs":
 			weights[f[2]], _ = strconv.Atoi(f[3])
 		case "forget":
@@ -106,7 +106,7 @@
 				got = append(got, "disrupted")
 			}
 			for _, zone := range []string{"a", "b"} {
-				if w.ZoneDark(zone, now, 100*time.Second) {
+				if w.ZoneSilent(zone, now, 100*time.Second) {
 					got = append(got, "zone "+zone+" is dark")
 				}
 			}
--- a/internal/settings/derived.go
+++ b/internal/settings/derived.go
@@ -29,7 +29,7 @@
 	// AnnounceAfter is how long a new leader waits for a machine that has nothing to be
 	// told to report by itself.
 	AnnounceAfter time.Duration
-	ZoneDark      time.Duration // nobody heard of a zone for so long, its machines are called
+	ZoneSilent    time.Duration // nobody heard of a zone for so long, its machines are called
 	HoldGrace     time.Duration // how long one floor can hold all verdicts
 	VerdictGap    time.Duration // least time between two verdicts in a zone
 
@@ -111,7 +111,7 @@
 		Overdue: report*5/4 + workerWait*5/4,
 		// A period and its quarter.
 		AnnounceAfter: report * 5 / 4,
-		ZoneDark:      max(report, workerWait),
+		ZoneSilent:    max(report, workerWait),
 		CallWait:      min(report, term) / 2,
 		HoldGrace:     times(report, s.Operator.HoldReports),
 		VerdictGap:    seconds(s.Operator.VerdictGapS),
