--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -579,7 +579,7 @@
 		l.queue(j)
 		l.arrived(j, 0, now)
 		l.replan, l.uncovered = true, true
-	case j != nil && rec.Stance == jobs.Cancelled && !j.cancelled:
+	case j != nil && rec.State == jobs.Cancelled && !j.cancelled:
 		l.cancelled(j, c.Revision)
 	}
 }
--- a/internal/control/write.go
+++ b/internal/control/write.go
@@ -215,7 +215,7 @@
 		return
 	}
 	l.finals = slices.DeleteFunc(l.finals, func(f *job) bool { return f == j })
-	switch rec.Stance {
+	switch rec.State {
 	case jobs.Done:
 		l.finalDone(j)
 	case jobs.Cancelled:
--- a/internal/jobs/api.go
+++ b/internal/jobs/api.go
@@ -70,7 +70,7 @@
 
 type view struct {
 	ID      string `json:"id"`
-	Stance  string `json:"stance"`
+	State   string `json:"stance"`
 	Done    *int   `json:"done,omitempty"`
 	Running *int   `json:"running,omitempty"`
 }
@@ -110,13 +110,13 @@
 	return &rec, p.Revision, nil
 }
 
-func (a *API) stance(id string, rec *Record) string {
+func (a *API) shownState(id string, rec *Record) string {
 	if !rec.Over() && a.Counts != nil {
 		if c, ok := a.Counts(id); ok && c.Running > 0 {
 			return Running
 		}
 	}
-	return rec.Stance
+	return rec.State
 }
 
 func (a *API) submit(ctx context.Context, w http.ResponseWriter, r *http.Request) {
@@ -148,7 +148,7 @@
 		a.ifNew(ctx, w, spec.ID, func() { a.later(w, "memory is short at this node") })
 		return
 	}
-	rec := Record{Stance: Queued, Tasks: spec.Tasks, Spec: spec, AtMs: time.Now().UnixMilli()}
+	rec := Record{State: Queued, Tasks: spec.Tasks, Spec: spec, AtMs: time.Now().UnixMilli()}
 	value, err := json.Marshal(rec)
 	if err == nil && len(value) > a.Derived.ValueBytes {
 		spec.onlyTypes(types)
@@ -166,7 +166,7 @@
 		}
 		if len(failed) == 0 {
 			slog.Debug("job accepted", "job", spec.ID, "class", spec.Class, "tasks", spec.Tasks)
-			reply(w, http.StatusCreated, view{ID: spec.ID, Stance: Queued})
+			reply(w, http.StatusCreated, view{ID: spec.ID, State: Queued})
 			return true, nil
 		}
 		known, _, err := a.read(ctx, spec.ID)
@@ -176,7 +176,7 @@
 		if known == nil {
 			return false, nil
 		}
-		reply(w, http.StatusOK, view{ID: spec.ID, Stance: a.stance(spec.ID, known)})
+		reply(w, http.StatusOK, view{ID: spec.ID, State: a.shownState(spec.ID, known)})
 		return true, nil
 	})
 }
@@ -189,7 +189,7 @@
 	case err != nil:
 		a.later(w, "state service does not answer")
 	case rec != nil:
-		reply(w, http.StatusOK, view{ID: id, Stance: a.stance(id, rec)})
+		reply(w, http.StatusOK, view{ID: id, State: a.shownState(id, rec)})
 	default:
 		refuse()
 	}
@@ -228,12 +228,12 @@
 		refuse(w, http.StatusNotFound, "no such job")
 	default:
 		var c Counts
-		if rec.Stance == Done {
+		if rec.State == Done {
 			c.Done = rec.Tasks
 		} else if a.Counts != nil && !rec.Over() {
 			c, _ = a.Counts(id)
 		}
-		reply(w, http.StatusOK, view{ID: id, Stance: a.stance(id, &rec), Done: &c.Done, Running: &c.Running})
+		reply(w, http.StatusOK, view{ID: id, State: a.shownState(id, &rec), Done: &c.Done, Running: &c.Running})
 	}
 }
 
@@ -252,7 +252,7 @@
 			refuse(w, http.StatusNotFound, "no such job")
 			return true, nil
 		case rec.Over():
-			reply(w, http.StatusOK, view{ID: id, Stance: rec.Stance})
+			reply(w, http.StatusOK, view{ID: id, State: rec.State})
 			return true, nil
 		}
 		ended := rec.Ended(Cancelled, a.Derived.ValueBytes)
@@ -263,7 +263,7 @@
 		}
 		a.Cache.set(RecordKey(id), ended, rev)
 		slog.Debug("job cancelled", "job", id)
-		reply(w, http.StatusOK, view{ID: id, Stance: Cancelled})
+		reply(w, http.StatusOK, view{ID: id, State: Cancelled})
 		return true, nil
 	})
 }
--- a/internal/jobs/brief.go
+++ b/internal/jobs/brief.go
@@ -4,7 +4,7 @@
 
 // brief is what a poll needs of a job's record.
 type brief struct {
-	stance   string
+	state    string
 	tasks    int
 	revision uint64 // of the record
 }
@@ -22,19 +22,19 @@
 }
 
 // Layout of the two words: the digits of an id as a number over how many there are,
-// and the revision over tasks and stance.
+// and the revision over tasks and state.
 const (
 	mostDigits   = 16 // 10^16 takes 54 bits
 	lengthBits   = 5
-	stanceBits   = 2
+	stateBits    = 2
 	taskBits     = 17
 	mostTasks    = 1<<taskBits - 1
-	mostRevision = 1<<(64-taskBits-stanceBits) - 1
+	mostRevision = 1<<(64-taskBits-stateBits) - 1
 	idPrefix     = "j-"
 )
 
-// stances are numbered by their place; a record of none of them counts as no stance.
-var stances = [...]string{Queued, Done, Cancelled, ""}
+// storedStates are numbered by their place; a record of none of them counts as no state.
+var storedStates = [...]string{Queued, Done, Cancelled, ""}
 
 // packID returns an id as one word, if it fits.
 func packID(id string) (key uint64, ok bool) {
@@ -56,9 +56,9 @@
 	if b.tasks < 0 || b.tasks > mostTasks || b.revision > mostRevision {
 		return 0, false
 	}
-	for i, s := range stances {
-		if s == b.stance {
-			return b.revision<<(taskBits+stanceBits) | uint64(b.tasks)<<stanceBits | uint64(i), true
+	for i, s := range storedStates {
+		if s == b.state {
+			return b.revision<<(taskBits+stateBits) | uint64(b.tasks)<<stateBits | uint64(i), true
 		}
 	}
 	return 0, false
@@ -66,9 +66,9 @@
 
 func unpack(word uint64) brief {
 	return brief{
-		stance:   stances[word&(1<<stanceBits-1)],
-		tasks:    int(word >> stanceBits & mostTasks),
-		revision: word >> (taskBits + stanceBits),
+		state:    storedStates[word&(1<<stateBits-1)],
+		tasks:    int(word >> stateBits & mostTasks),
+		revision: word >> (taskBits + stateBits),
 	}
 }
 
--- a/internal/jobs/brief_test.go
+++ b/internal/jobs/brief_test.go
@@ -22,7 +22,7 @@
 				if (i+n)%3 == 0 {
 					continue // not every job has every record
 				}
-				b := brief{stance: stances[(i+n)%len(stances)], tasks: count, revision: revision}
+				b := brief{state: storedStates[(i+n)%len(storedStates)], tasks: count, revision: revision}
 				table.set(id, b)
 				plain[id] = b
 			}
--- a/internal/jobs/cache.go
+++ b/internal/jobs/cache.go
@@ -15,7 +15,7 @@
 	"ospreyslip/internal/state"
 )
 
-// Cache is this node's copy of all jobs' stances. It answers users' polls at the
+// Cache is this node's copy of all jobs' storedStates. It answers users' polls at the
 // cost of two small reads of the state service for all polls that wait at a time.
 //
 // An answer is as good as a read of its own record: the cache holds every job
@@ -78,7 +78,7 @@
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	b, found := m.jobs.get(id)
-	return Record{Stance: b.stance, Tasks: b.tasks}, found, nil
+	return Record{State: b.state, Tasks: b.tasks}, found, nil
 }
 
 // Run reads for those who ask until the context ends. Who asks while a read is
@@ -177,8 +177,8 @@
 // it: they must not turn an answer back while they are taken in.
 func (m *Cache) set(key string, value json.RawMessage, revision uint64) {
 	var rec struct {
-		Stance string `json:"stance"`
-		Tasks  int    `json:"tasks"`
+		State string `json:"stance"`
+		Tasks int    `json:"tasks"`
 	}
 	if err := jsonv2.Unmarshal(value, &rec); err != nil {
 		slog.Error("job record unreadable", "key", key, "reason", err)
@@ -186,8 +186,8 @@
 	}
 	b := brief{tasks: rec.Tasks, revision: revision}
 	for _, s := range []string{Queued, Done, Cancelled} {
-		if s == rec.Stance {
-			b.stance = s // one copy of the text for all jobs
+		if s == rec.State {
+			b.state = s // one copy of the text for all jobs
 		}
 	}
 	m.mu.Lock()
@@ -198,7 +198,7 @@
 		return
 	}
 	m.jobs.set(id, b)
-	if b.stance == Cancelled && old.revision < revision {
+	if b.state == Cancelled && old.revision < revision {
 		m.remember(Cancellation{id, revision})
 	}
 }
--- a/internal/jobs/cache_order_test.go
+++ b/internal/jobs/cache_order_test.go
@@ -14,13 +14,13 @@
 	m := NewCache(nil, time.Second, time.Second, 8)
 	m.set("job/j-1", []byte(`{"stance":"done","tasks":3}`), 105)   // from the list
 	m.set("job/j-1", []byte(`{"stance":"queued","tasks":3}`), 102) // from the watch, on the way to 105
-	if got, _ := m.jobs.get("j-1"); got.stance != Done {
-		t.Errorf("done went back to %s", got.stance)
+	if got, _ := m.jobs.get("j-1"); got.state != Done {
+		t.Errorf("done went back to %s", got.state)
 	}
 	m.set("job/j-2", []byte(`{"stance":"queued","tasks":3}`), 103)
 	m.set("job/j-2", []byte(`{"stance":"aborted","tasks":3}`), 107)
-	if got, _ := m.jobs.get("j-2"); got.stance != Cancelled {
-		t.Errorf("cancelled is shown as %s", got.stance)
+	if got, _ := m.jobs.get("j-2"); got.state != Cancelled {
+		t.Errorf("cancelled is shown as %s", got.state)
 	}
 }
 
--- a/internal/jobs/cache_test.go
+++ b/internal/jobs/cache_test.go
@@ -40,9 +40,9 @@
 	})
 }
 
-func (c *cached) write(id, stance string) {
+func (c *cached) write(id, to string) {
 	c.t.Helper()
-	value, _ := json.Marshal(jobs.Record{Stance: stance, Tasks: 3})
+	value, _ := json.Marshal(jobs.Record{State: to, Tasks: 3})
 	p, _, err := c.other.Get(c.t.Context(), jobs.RecordKey(id))
 	if err != nil {
 		c.t.Fatal(err)
@@ -52,7 +52,7 @@
 	}
 }
 
-// poll returns the stance that a user would be told, "404" or "503".
+// poll returns the state that a user would be told, "404" or "503".
 func (c *cached) poll(id string) string {
 	ctx, cancel := context.WithTimeout(c.t.Context(), 2*time.Second)
 	defer cancel()
@@ -63,13 +63,13 @@
 	case !found:
 		return "404"
 	}
-	return rec.Stance
+	return rec.State
 }
 
-func (c *cached) want(id, stance, when string) {
+func (c *cached) want(id, state, when string) {
 	c.t.Helper()
-	if got := c.poll(id); got != stance {
-		c.t.Errorf("%s: %s is %s, want %s", when, id, got, stance)
+	if got := c.poll(id); got != state {
+		c.t.Errorf("%s: %s is %s, want %s", when, id, got, state)
 	}
 }
 
--- a/internal/jobs/record.go
+++ b/internal/jobs/record.go
@@ -5,7 +5,7 @@
 	"strings"
 )
 
-// Stances of a job.
+// States of a job.
 const (
 	Queued    = "queued"
 	Running   = "running"
@@ -21,21 +21,21 @@
 // job ends in one way only. A done job keeps no more than that; a cancelled one
 // keeps its description, since its tasks still count until they are gone.
 type Record struct {
-	Stance string `json:"stance"`
-	Tasks  int    `json:"tasks"`
-	Spec   *Spec  `json:"spec,omitempty"`
-	AtMs   int64  `json:"atMs,omitempty"` // time of day of its acceptance
+	State string `json:"stance"`
+	Tasks int    `json:"tasks"`
+	Spec  *Spec  `json:"spec,omitempty"`
+	AtMs  int64  `json:"atMs,omitempty"` // time of day of its acceptance
 }
 
 // Over tells whether the record can change no more.
-func (r *Record) Over() bool { return r.Stance == Done || r.Stance == Cancelled }
+func (r *Record) Over() bool { return r.State == Done || r.State == Cancelled }
 
 // Ended returns the record's last form, in no more than so many bytes. A cancelled
 // job may be from when records could be larger: then its description keeps what its
 // tasks count for until they are gone.
-func (r *Record) Ended(stance string, most int) json.RawMessage {
-	end := Record{Stance: stance, Tasks: r.Tasks}
-	if stance == Cancelled {
+func (r *Record) Ended(to string, most int) json.RawMessage {
+	end := Record{State: to, Tasks: r.Tasks}
+	if to == Cancelled {
 		end.Spec = r.Spec
 	}
 	raw, _ := json.Marshal(end)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -593,7 +593,7 @@
 		// One that was accepted when values could be larger, and is cancelled now.
 		old := batch("j-2", 2, 500)
 		old.Types = s.Types
-		raw, _ := json.Marshal(jobs.Record{Stance: jobs.Queued, Tasks: 2, Spec: old})
+		raw, _ := json.Marshal(jobs.Record{State: jobs.Queued, Tasks: 2, Spec: old})
 		c.world.State.Put("job/j-2", raw)
 		c.world.Submitted("j-2")
 		c.world.Upload(old)
