--- a/internal/control/assignment_log_test.go
+++ b/internal/control/assignment_log_test.go
@@ -59,7 +59,7 @@
 func logLeader(s *segmentStore, token uint64, specs []*jobs.Spec) *Leader {
 	l, m, _, now := bench()
 	l.lost(m, "not of this test")
-	l.jobs, l.machines, l.used, l.log, l.finals = map[string]*job{}, newMachineSet(), map[string]placement.Amount{}, assignmentLog{}, nil
+	l.jobs, l.machines, l.used, l.log, l.finished = map[string]*job{}, newMachineSet(), map[string]placement.Amount{}, assignmentLog{}, nil
 	l.watch = liveness.New(liveness.Config{})
 	l.token, l.attempts = token, token<<24
 	l.Derived.ValueBytes, l.Derived.TxnOps = s.value, s.ops
@@ -203,9 +203,9 @@
 		for _, attempt := range sorted(m.assigned) {
 			if a := m.assigned[attempt]; a.durable && a.outcome == open && rnd.IntN(60) == 0 {
 				if a.job.spec.Shape == jobs.Batch && a.job.doneCount+1 < a.job.spec.Tasks {
-					l.over(a, success)
+					l.conclude(a, success)
 				} else {
-					l.over(a, retry)
+					l.conclude(a, retry)
 				}
 			}
 		}
@@ -226,8 +226,8 @@
 	l, m, j, now := bench()
 	l.term.Revision, l.tokenRevision, j.revision = 77, 78, 79
 	l.readLog(nil)
-	l.raise = true
-	l.finals = append(l.finals, j)
+	l.raiseToken = true
+	l.finished = append(l.finished, j)
 	l.assign(j, j.take(), m, now) // its beginning is to be written
 	b := l.compose()
 	revisions := map[string]uint64{}
--- /dev/null
+++ b/internal/control/follow.go
@@ -0,0 +1,131 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"maps"
+	"time"
+
+	jsonv2 "github.com/go-json-experiment/json"
+
+	"ospreyslip/internal/jobs"
+	"ospreyslip/internal/state"
+)
+
+// follow watches the jobs.
+func (l *Leader) follow(ctx context.Context, after uint64) {
+	var least uint64
+	var asked time.Time
+	for ctx.Err() == nil {
+		// Only what reaches a revision read at some moment is as new as that: a
+		// watch may lag, or be empty because the service does not serve this node.
+		if sent := time.Now(); least <= after {
+			if r, err := l.Store.Revision(ctx); err == nil {
+				least, asked = r, sent
+			}
+		}
+		rev, changes, err := l.Store.Watch(ctx, jobs.RecordPrefix, after, l.Derived.WatchWait)
+		if errors.Is(err, state.ErrCompacted) {
+			var pairs []state.Pair
+			if pairs, rev, err = l.Store.List(ctx, jobs.RecordPrefix); err == nil {
+				for _, p := range pairs {
+					changes = append(changes, state.Change{Set: p.Key, Value: p.Value, Revision: p.Revision})
+				}
+			}
+		}
+		if err != nil {
+			slog.Debug("watch failed", "term", l.term.Token, "reason", err)
+			select {
+			case <-ctx.Done():
+			case <-time.After(l.Derived.TermRenew):
+			}
+			continue
+		}
+		after = max(after, rev)
+		seen := after
+		proven := after >= least && !asked.IsZero()
+		sent := asked
+		l.post(ctx, func(now time.Time) {
+			if proven && sent.After(l.viewTime) {
+				l.viewTime = sent
+			}
+			for _, c := range changes {
+				l.jobChanged(c, now)
+			}
+			l.seen.Store(seen)
+			maps.DeleteFunc(l.unseen, func(_ string, at uint64) bool { return at <= seen })
+		})
+	}
+}
+
+// cancelledUnseen takes in what users were told by a moment, while no change can be
+// had from the state service. What it names ends at once, and is not begun when the
+// changes come that say that it was accepted.
+func (l *Leader) cancelledUnseen(all []jobs.Cancellation, by time.Time) {
+	for _, c := range all {
+		if c.Revision <= l.seen.Load() {
+			continue
+		}
+		l.unseen[c.Job] = c.Revision
+		if j := l.jobs[c.Job]; j != nil && !j.cancelled {
+			l.cancelled(j, c.Revision)
+		}
+	}
+	if by.After(l.viewTime) {
+		l.viewTime = by
+	}
+}
+
+func (l *Leader) cancelled(j *job, revision uint64) {
+	slog.Info("job cancelled", "job", j.id, "term", l.token)
+	j.cancelled, j.revision, j.heard = true, revision, time.Now()
+	l.cancelTasks(j)
+}
+
+func (l *Leader) jobChanged(c state.Change, now time.Time) {
+	if c.Set == "" {
+		return
+	}
+	var rec jobs.Record
+	if err := jsonv2.Unmarshal(c.Value, &rec); err != nil {
+		slog.Error("job record unreadable", "key", c.Set, "reason", err)
+		return
+	}
+	id := jobs.IDOf(c.Set)
+	j := l.jobs[id]
+	switch {
+	case j == nil && l.unseen[id] > c.Revision: // cancelled since
+	case j == nil && !rec.Over() && rec.Spec != nil:
+		j = newJob(id, rec.Spec, c.Revision, rec.AtMs, now)
+		l.jobs[id] = j
+		l.show(j)
+		l.queue(j)
+		l.arrived(j, 0, now)
+		l.replan, l.uncovered = true, true
+	case j != nil && rec.State == jobs.Cancelled && !j.cancelled:
+		l.cancelled(j, c.Revision)
+	}
+}
+
+func (l *Leader) cancelTasks(j *job) {
+	for _, a := range j.tasks {
+		l.dropUnsent(a)
+	}
+	l.replan = true
+	l.settled(j)
+}
+
+// settled forgets a job that is over and has no task anywhere.
+func (l *Leader) settled(j *job) {
+	if !j.over() || len(j.tasks) > 0 || l.jobs[j.id] != j {
+		return
+	}
+	if j.final && !j.cancelled && j.revision != 0 {
+		return // its record is still to be written
+	}
+	delete(l.jobs, j.id)
+	delete(l.queued, j)
+	l.uncovered = true
+	l.Counts.drop(j.id)
+}
--- a/internal/control/gangs_test.go
+++ b/internal/control/gangs_test.go
@@ -17,7 +17,7 @@
 func withGang() (l *Leader, j *job, now time.Time) {
 	l, m, old, now := bench()
 	for _, a := range m.assigned {
-		l.over(a, retry)
+		l.conclude(a, retry)
 		l.forget(a)
 	}
 	delete(l.jobs, old.id)
@@ -159,8 +159,8 @@
 	if d := cmp.Diff([]string(nil), l.says("m-2", j, now, done)); d != "" {
 		t.Errorf("before the job's end is durable: %s", d)
 	}
-	if j.doneCount != 3 || !j.final || len(l.finals) != 1 {
-		t.Errorf("%d done, final %v, %d to be written", j.doneCount, j.final, len(l.finals))
+	if j.doneCount != 3 || !j.final || len(l.finished) != 1 {
+		t.Errorf("%d done, final %v, %d to be written", j.doneCount, j.final, len(l.finished))
 	}
 	b := l.compose()
 	if a := j.tasks[2]; !a.closing || len(b.revisions) < 2 {
--- /dev/null
+++ b/internal/control/load.go
@@ -0,0 +1,188 @@
+package control
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	jsonv2 "github.com/go-json-experiment/json"
+
+	"ospreyslip/internal/gang"
+	"ospreyslip/internal/jobs"
+	"ospreyslip/internal/state"
+)
+
+// load reads all records. The term is ours already, so that no earlier leader
+// can change them any more; users can, and the watch starts where load began.
+func (l *Leader) load(ctx context.Context) (after uint64, err error) {
+	now := time.Now()
+	l.viewTime = now
+	segments, _, err := l.Store.List(ctx, logPrefix)
+	if err != nil {
+		return 0, err
+	}
+	log := l.readLog(segments)
+	named := jobsNamed(log)
+	ended := map[string]state.Pair{} // of which tasks may be left
+	over := 0
+	after, err = l.Store.Each(ctx, jobs.RecordPrefix, func(p state.Pair) {
+		var rec jobs.Record
+		if err := jsonv2.Unmarshal(p.Value, &rec); err != nil {
+			slog.Error("job record unreadable", "key", p.Key, "reason", err)
+			return
+		}
+		id := jobs.IDOf(p.Key)
+		if !rec.Over() && rec.Spec != nil {
+			l.jobs[id] = newJob(id, rec.Spec, p.Revision, rec.AtMs, now)
+			return
+		}
+		over++
+		if named[id] {
+			ended[id] = p
+		}
+	})
+	if err != nil {
+		return 0, err
+	}
+	l.restore(log, ended, now)
+	for _, j := range l.jobs {
+		if j.isGang() && !j.over() && j.verdict() == gang.End {
+			l.stopGang(j, 0) // its leader ended when a part of it had begun, or was over
+		}
+		if !j.over() && j.spec.Shape == jobs.Batch && j.doneCount == j.spec.Tasks {
+			l.finish(j)
+		}
+		l.show(j)
+		l.queue(j)
+		age := time.Duration(now.UnixMilli()-j.atMs) * time.Millisecond
+		l.arrived(j, age, now)
+		l.remember(j, age, now)
+	}
+	l.replan, l.uncovered = true, true
+	l.raisedAt = now
+	l.listSyncAt = now.Add(2 * l.Derived.ListLag)
+	l.seen.Store(after)
+	slog.Info("records read", "term", l.token, "jobs", len(l.jobs), "ended", over, "machines", len(l.machines.all))
+	return after, nil
+}
+
+// jobsNamed returns the jobs of which the log has tasks.
+func jobsNamed(log []segmentRecord) map[string]bool {
+	named := map[string]bool{}
+	for _, segment := range log {
+		for _, b := range segment.Begun {
+			for _, t := range b.Tasks {
+				named[t.Job] = true
+			}
+		}
+	}
+	return named
+}
+
+// restore takes in the log. Whatever it names may be there: the tasks count
+// until a report under our token, or the end of the lease, shows otherwise. No
+// earlier leader answered a report later than the term began.
+func (l *Leader) restore(recs []segmentRecord, ended map[string]state.Pair, now time.Time) {
+	first := len(l.log.segments) - len(recs)
+	where := map[uint64]*segment{}
+	defer l.announce()
+	for i, rec := range recs {
+		p := l.log.segments[first+i]
+		for _, b := range rec.Begun {
+			m := l.restoreMachine(b, now)
+			for _, t := range b.Tasks {
+				if old := where[t.Attempt]; old != nil {
+					delete(old.begun, t.Attempt) // carried along since
+				}
+				where[t.Attempt] = p
+				l.restoreTask(p, m, b.Session, t, ended, now)
+			}
+		}
+		for _, attempt := range rec.Over {
+			if p := where[attempt]; p != nil {
+				delete(p.begun, attempt)
+			}
+		}
+		for _, d := range rec.Done {
+			j := l.jobs[d.Job]
+			if j == nil || d.Chunk < 0 || d.Chunk*l.Derived.ChunkTasks >= j.spec.Tasks {
+				continue
+			}
+			if err := j.loadChunk(d.Chunk, l.Derived.ChunkTasks, d.Bits); err != nil {
+				slog.Error("completions unreadable", "job", d.Job, "reason", err)
+				continue
+			}
+			ref := chunkRef{j, d.Chunk}
+			p.done[ref] = true
+			j.chunks[d.Chunk] = &chunk{home: p, saved: true}
+		}
+	}
+	for _, p := range l.log.segments {
+		for _, attempt := range sorted(p.begun) {
+			a := p.begun[attempt]
+			l.count(a)
+			a.m.assigned[attempt] = a
+			a.job.tasks[a.n] = a
+			if !a.job.isDone(a.n) {
+				a.job.waiting--
+			}
+			if a.job.isGang() {
+				a.job.joined(a)
+			}
+		}
+	}
+	for _, p := range l.log.segments {
+		for _, attempt := range sorted(p.begun) {
+			a := p.begun[attempt]
+			switch {
+			case a.job.isDone(a.n):
+				l.conclude(a, success)
+			case a.session < a.m.session:
+				l.conclude(a, retry) // its session was over when a later one was recorded
+			}
+		}
+	}
+}
+
+func (l *Leader) restoreMachine(b begunRecord, now time.Time) *machine {
+	m := l.machines.byID[b.Machine]
+	if m == nil {
+		m = newMachine(b.Machine, now)
+		m.phase, m.leaseUntil = up, now.Add(l.Derived.LeaseOver)
+		l.machines.add(m)
+		l.watch.Restore(m.id, b.Zone, now)
+	}
+	m.addr, m.typ, m.zone, m.spot = b.Addr, b.Type, b.Zone, b.Spot
+	m.session = max(m.session, b.Session)
+	return m
+}
+
+// restoreTask finds out what may be on a machine; it does not count before the
+// whole log is read.
+func (l *Leader) restoreTask(p *segment, m *machine, session uint64, t taskRecord, ended map[string]state.Pair, now time.Time) {
+	j := l.jobs[t.Job]
+	if j == nil {
+		var old jobs.Record
+		if p, ok := ended[t.Job]; ok {
+			_ = jsonv2.Unmarshal(p.Value, &old)
+		}
+		if old.Spec == nil {
+			// Done: what is left of it on the machine ends by itself.
+			old.Spec = &jobs.Spec{ID: t.Job, Tasks: t.N + 1, Shape: jobs.Batch}
+		}
+		j = newJob(t.Job, old.Spec, ended[t.Job].Revision, 0, now)
+		j.cancelled = true
+		l.jobs[t.Job] = j
+	}
+	if t.N < 0 || t.N >= j.spec.Tasks {
+		if !j.cancelled {
+			slog.Error("record names a task that its job does not have", "job", t.Job, "task", t.N)
+			return
+		}
+		j.grow(t.N + 1)
+	}
+	p.begun[t.Attempt] = &assignment{
+		job: j, n: t.N, attempt: t.Attempt, gang: t.Gang, session: session, m: m, home: p,
+		restored: true, durable: true, doubt: l.token - 1, born: now, since: now,
+	}
+}
--- /dev/null
+++ b/internal/control/observe.go
@@ -0,0 +1,186 @@
+package control
+
+import (
+	"log/slog"
+	"math"
+	"time"
+
+	"ospreyslip/internal/gang"
+	"ospreyslip/internal/workers"
+)
+
+// observe takes a worker's own picture of its machine. It returns false for an
+// old copy, which must not turn the picture back.
+func (l *Leader) observe(m *machine, r *workers.Report, now time.Time) bool {
+	if r.Session < m.session || r.Session == m.session && m.seq != 0 && r.Seq <= m.seq {
+		return false
+	}
+	if r.Session > m.session {
+		// The lease ran out in between: the worker killed all tasks it had.
+		for _, a := range m.assigned {
+			if a.session < r.Session {
+				l.conclude(a, retry)
+			}
+		}
+		// The answer to an order or a call may tell of the new session before the end
+		// of the old one is over by our clock, which counts from when a report arrived.
+		// What begins in the new one may run for a whole lease from now.
+		m.leaseUntil = now.Add(l.Derived.LeaseOver)
+		m.doubtSince = time.Time{}
+		l.replan = true
+	}
+	m.session, m.seq, m.token, m.reportedTasks = r.Session, r.Seq, r.Token, r.Tasks
+	m.addr, m.typ, m.zone, m.spot = r.Addr, r.Type, r.Zone, r.Spot
+	if r.NoticeS != nil {
+		l.notice(m, *r.NoticeS, now)
+	}
+	for begun, token := range m.ordered {
+		if token < m.token && taskIn(r, begun) == nil {
+			delete(m.ordered, begun)
+		}
+	}
+	for _, a := range m.assigned {
+		if a.outcome != open || a.session != r.Session {
+			continue
+		}
+		t := taskIn(r, a.ref())
+		if t == nil {
+			l.absent(a, r.Token)
+			continue
+		}
+		// One run is sent in one order only, so that one seen is one used up.
+		a.doubt, a.sent = 0, true
+		if a.seen != t.State {
+			slog.Debug("task seen", "task", t.Task, "machine", m.id, "term", l.token, "state", t.State)
+			switch t.State {
+			case workers.Running:
+				if a.seen == workers.Fetching || a.seen == workers.Gathering || !a.restored {
+					a.since = now
+				}
+				m.used(a.job.spec, l.cacheGB(m))
+			case workers.Gathering:
+				m.used(a.job.spec, l.cacheGB(m))
+			}
+			l.see(a, t.State)
+			l.show(a.job)
+		}
+		if t.State == workers.Ended {
+			l.ended(a, t, now)
+		}
+	}
+	return true
+}
+
+func taskIn(r *workers.Report, of ref) *workers.Task {
+	for i := range r.Tasks {
+		if refOf(&r.Tasks[i]) == of {
+			return &r.Tasks[i]
+		}
+	}
+	return nil
+}
+
+// absent judges an assignment that the newest picture does not show.
+func (l *Leader) absent(a *assignment, token uint64) {
+	if !a.durable || a.ordered || a.doubt != 0 && token <= a.doubt {
+		return // it may be on its way
+	}
+	a.doubt, a.sent = 0, false
+	l.see(a, "")
+	if a.job.over() || a.stop {
+		l.conclude(a, retry)
+	}
+}
+
+func (l *Leader) ended(a *assignment, t *workers.Task, now time.Time) {
+	j, m := a.job, a.m
+	switch {
+	case t.Cause == workers.CauseDone && j.spec.Ends():
+		j.errors, j.served = 0, now
+		clear(m.failures)
+		l.ran(a, now)
+		l.conclude(a, success)
+		return
+	case t.Cause == workers.CauseStopped, t.Cause == workers.CauseMatesGone, t.Cause == workers.CauseIncomplete:
+	case t.Cause == workers.CauseError:
+		// Mostly the machine's fault. A job that fails on several machines in
+		// a row is its user's mistake: it goes on being tried, ever more rarely.
+		j.errors++
+		m.failures[j.id] = true
+		m.avoidFor(j.id, now.Add(l.Derived.Lease))
+		if j.errors > 2 {
+			j.notBefore = now.Add(min(l.Derived.Report<<min(j.errors-2, 6), l.Derived.Cancel))
+		}
+		if len(m.failures) > 1 && !m.draining {
+			slog.Info("machine suspected", "machine", m.id, "term", l.token, "reason", "several jobs failed on it")
+			m.draining = true
+			l.capacity.Remove(m.offer)
+		}
+	default: // no_room, busy, unknown: refused, and worth another try soon
+		m.avoidFor(j.id, now.Add(l.Derived.Report))
+		if t.Cause == workers.CauseUnknown {
+			j.notBefore = now.Add(l.Derived.Report)
+		}
+	}
+	slog.Debug("task ended", "task", a.name(), "machine", m.id, "term", l.token, "reason", t.Cause)
+	l.conclude(a, retry)
+}
+
+// avoidFor keeps a job off a machine for a while.
+func (m *machine) avoidFor(job string, until time.Time) {
+	m.avoid[job], m.offer.Avoid[job] = until, true
+}
+
+// endAvoidance ends what is over by now.
+func (m *machine) endAvoidance(now time.Time) (ended bool) {
+	for job, until := range m.avoid {
+		if now.After(until) {
+			delete(m.avoid, job)
+			delete(m.offer.Avoid, job)
+			ended = true
+		}
+	}
+	return ended
+}
+
+// notice prepares for the loss of a machine: what can save does so, what may still
+// complete goes on, and the rest begins anew elsewhere at once.
+func (l *Leader) notice(m *machine, inS float64, now time.Time) {
+	if m.noticeUntil.IsZero() {
+		slog.Info("machine will be taken", "machine", m.id, "term", l.token, "inS", inS)
+	}
+	m.draining = true
+	l.capacity.Remove(m.offer)
+	m.noticeUntil = now.Add(time.Duration(inS * float64(time.Second)))
+	for _, a := range m.assigned {
+		if a.outcome != open || a.stop {
+			continue
+		}
+		switch s := a.job.spec; {
+		case a.job.isGang() && gang.Saves(s.CheckpntS, s.SaveS, l.Derived.GangPeer.Seconds(), inS),
+			!a.job.isGang() && s.CheckpntS > 0 && s.SaveS < inS:
+			l.stopWithGang(a, s.SaveS)
+		case l.hopeless(a, inS, now):
+			l.stopWithGang(a, 0)
+		}
+	}
+	l.replan = true
+}
+
+// hopeless tells whether a task on a machine that will be taken should begin anew
+// elsewhere: if it stays, it most likely loses the time until then as well.
+func (l *Leader) hopeless(a *assignment, inS float64, now time.Time) bool {
+	if !a.job.spec.Ends() {
+		return len(l.unmet) == 0 // it never completes; while others wait it would, too
+	}
+	ran := 0.0
+	if a.seen == workers.Running {
+		ran = now.Sub(a.since).Seconds()
+	}
+	runS := l.runS(a.job.spec)
+	if usual, known := a.job.usual(); known {
+		runS = math.Exp(usual)
+	}
+	p := l.runsOf(a.job.spec.Class).endsWithin(ran, inS, runS)
+	return p*runS < (1-p)*inS
+}
--- a/internal/control/picture_test.go
+++ b/internal/control/picture_test.go
@@ -15,7 +15,6 @@
 	"ospreyslip/internal/fleet"
 	"ospreyslip/internal/jobs"
 	"ospreyslip/internal/liveness"
-	"ospreyslip/internal/placement"
 	"ospreyslip/internal/settings"
 	"ospreyslip/internal/state"
 	"ospreyslip/internal/term"
@@ -30,16 +29,12 @@
 		State:   settings.State{RPS: 100, WriteRPS: 50, ValueKB: 32, TxnOps: 12},
 		Cloud:   settings.Cloud{RPS: 6, ListLagS: 4}, Limits: settings.Limits{MemoryMB: 100, MaxSockets: 100},
 	}}
-	l := &Leader{
-		Deps: Deps{
-			Settings: set, Derived: set.Derive(), Counts: NewCounts(), Valid: func() bool { return true },
-			Promised: func() time.Time { return time.Time{} }, Catalog: func() []jobs.MachineType { return nil },
-		},
-		term: term.Term{Token: 5}, token: 5, attempts: 100, fresh: now,
-		jobs: map[string]*job{}, machines: newMachineSet(), used: map[string]placement.Amount{},
-		queued: map[*job]bool{}, runs: map[string]*runs{}, gone: map[string]time.Time{}, refused: map[fleet.Kind]refusal{},
-		watch: liveness.New(liveness.Config{SilentFor: time.Second, LeaseOver: time.Second, HoldGrace: time.Second, Gap: time.Second}),
-	}
+	l := newLeader(Deps{
+		Settings: set, Derived: set.Derive(), Counts: NewCounts(), Valid: func() bool { return true },
+		Promised: func() time.Time { return time.Time{} }, Catalog: func() []jobs.MachineType { return nil },
+	}, term.Term{Token: 5})
+	l.attempts, l.viewTime = 100, now
+	l.watch = liveness.New(liveness.Config{SilentFor: time.Second, LeaseOver: time.Second, HoldGrace: time.Second, Gap: time.Second})
 	j := newJob("j-1", &jobs.Spec{ID: "j-1", Team: "red", Shape: jobs.Batch, Priority: jobs.Standard, Tasks: 2, CPUs: 1}, 1, 0, now)
 	l.jobs["j-1"] = j
 	l.report(report(1, 1), now)
@@ -216,7 +211,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			l, m, _, now := bench()
-			l.runs["sums"] = &runs{variance: 0.25, tasks: 100, jobs: 100}
+			l.runTimes["sums"] = &runTimes{variance: 0.25, tasks: 100, jobs: 100}
 			j := newJob("j-2", &jobs.Spec{ID: "j-2", Class: "sums", Shape: jobs.Batch, Tasks: 50, CPUs: 1, EstimateS: 10}, 1, 0, now)
 			l.jobs["j-2"] = j
 			for range 25 {
@@ -351,7 +346,7 @@
 		}), time.Second, 100)
 		l.Publish, l.events = func(map[string]jobs.Counts) {}, make(chan func(time.Time), 1)
 		for _, a := range j.tasks {
-			l.over(a, retry)
+			l.conclude(a, retry)
 			l.forget(a)
 		}
 		l.Valid = func() bool { return false }
@@ -439,7 +434,7 @@
 			r := report(1, 4, task)
 			r.NoticeS = &tc.inS
 			now = now.Add(time.Duration(tc.ran * float64(time.Second)))
-			l.fresh = now
+			l.viewTime = now
 			l.report(r, now)
 			if a := j.tasks[0]; a.stop != tc.moved {
 				t.Errorf("stopped: %v", a.stop)
@@ -462,7 +457,7 @@
 	l.report(report(1, 2), now)
 	task := workers.Task{Task: "j-1/0", Attempt: 101, State: workers.Running}
 	late := now.Add(l.Derived.BeginBy)
-	l.fresh = late
+	l.viewTime = late
 	l.report(report(1, 3, task), late)
 	a := j.tasks[0]
 	if n := l.overdue(j, late.Add(time.Second)); n != 1 {
@@ -517,7 +512,7 @@
 	seq := uint64(100)
 	const step = 100 * time.Millisecond
 	for now := start; now.Sub(start) < 20*l.Derived.LeaseOver; now = now.Add(step) {
-		l.fresh = now
+		l.viewTime = now
 		if rnd.IntN(8) == 0 {
 			seq++
 			r := report(1, seq)
--- /dev/null
+++ b/internal/control/report.go
@@ -0,0 +1,167 @@
+package control
+
+import (
+	"log/slog"
+	"time"
+
+	"ospreyslip/internal/workers"
+)
+
+// report answers a worker, or returns nil if this node has no right to.
+func (l *Leader) report(r *workers.Report, now time.Time) *workers.Answer {
+	if !l.Valid() || l.viewAge(now) > l.Derived.WatchStale || r.Token > l.token {
+		return nil
+	}
+	m := l.machines.byID[r.Machine]
+	if _, gone := l.returned[r.Machine]; m == nil && gone {
+		return nil
+	}
+	c := counter(r)
+	if m != nil {
+		if m.phase == returning {
+			// Its release may take as long as an outage of the cloud. Unanswered,
+			// its tasks end with its lease; answered, they would run on, those of
+			// jobs cancelled meanwhile as well.
+			return nil
+		}
+		if l.mayStartCancelled(m, now) {
+			return nil
+		}
+		if r.Session < m.session || c == m.lastReport || c.Before(m.lastReport) {
+			return nil // from before a lease that has run out, or a late copy
+		}
+		// Whoever gets an answer has its lease renewed by it.
+		m.leaseUntil, m.lastReport = now.Add(l.Derived.LeaseOver), c
+	}
+	if r.Token < l.term.Token {
+		// Sent before the worker heard of this term, or a copy of such a report
+		// that was under way for any length of time. It proves nothing; the
+		// answer brings the token, and with it a report that does.
+		return &workers.Answer{Token: l.term.Token, Calls: []workers.Call{}}
+	}
+	if m == nil {
+		m = newMachine(r.Machine, now)
+		m.typ, m.zone, m.spot, m.addr = r.Type, r.Zone, r.Spot, r.Addr
+		m.leaseUntil = now.Add(l.Derived.LeaseOver)
+		m.lastReport = c
+		l.machines.add(m)
+	}
+	if m.phase == booting {
+		l.booted(m, now)
+	}
+	l.checkDelivery(m, r, now)
+	l.watch.Heard(m.id, r.Zone, c, now)
+	if m.dead && !l.watch.Judged(m.id) {
+		m.dead = false
+		slog.Info("machine reports again", "machine", m.id, "term", l.token)
+	}
+	l.observe(m, r, now)
+	m.reported, m.orderFails = now, 0
+	l.updateCapacity(m, now)
+	calls := l.calls(m, true)
+	m.lastCalls = calls
+	return &workers.Answer{Token: l.tokenFor(m), Calls: calls}
+}
+
+// mayStartCancelled tells whether an order on its way may still begin a task whose job
+// is cancelled. A higher token ends that, but in an outage of the state service there
+// is none to be had. Then the worker's lease has to end in time, and with it the
+// session that the order is for.
+func (l *Leader) mayStartCancelled(m *machine, now time.Time) bool {
+	if m.doubtSince.IsZero() {
+		return false
+	}
+	for _, a := range m.assigned {
+		if a.outcome == open && a.doubt != 0 && a.job.cancelled && now.Sub(a.job.heard) > l.Derived.WatchStale/2 {
+			return true
+		}
+	}
+	return false
+}
+
+// mostUndelivered is how many answers in a row may go undelivered.
+const mostUndelivered = 2
+
+// checkDelivery finds machines whose reports arrive while our answers do not: what an
+// answer asked for has not happened by the next report. Such a machine would
+// look healthy for ever, and task after task would be given to it in vain.
+func (l *Leader) checkDelivery(m *machine, r *workers.Report, now time.Time) {
+	heard := len(m.lastCalls) == 0
+	for _, c := range m.lastCalls {
+		t := taskIn(r, ref{c.Task, c.Attempt})
+		a := m.find(ref{c.Task, c.Attempt})
+		switch {
+		case c.Op == workers.OpRun:
+			heard = heard || t != nil
+		case c.Op == workers.OpClear:
+			heard = heard || t == nil
+		case a != nil && a.job.isGang() && t != nil && t.State == workers.Running:
+			heard = true // it runs on, in its report, until all have saved
+		default:
+			heard = heard || t == nil || t.State != workers.Running && t.State != workers.Fetching && t.State != workers.Gathering
+		}
+	}
+	switch {
+	case r.Session > m.session || len(m.lastCalls) == 0: // nothing to be learnt
+	case heard:
+		m.undelivered = 0
+		l.watch.Reachable(m.id)
+	default:
+		m.undelivered++
+		if m.undelivered == mostUndelivered {
+			slog.Info("machine does not hear", "machine", m.id, "term", l.token)
+			l.watch.Unreachable(m.id)
+			l.replan = true
+		}
+	}
+}
+
+// calls returns what the worker should do, from the difference between its
+// picture and ours. A clear goes out in answers only: there is one report in
+// flight, so that no run in an earlier answer can follow it. An attempt that was
+// begun by an order is cleared when the worker has seen a higher token: it then
+// refuses a late copy of that order, which would start the task once more.
+func (l *Leader) calls(m *machine, answer bool) []workers.Call {
+	calls := []workers.Call{}
+	if m.phase == returning {
+		return calls
+	}
+	for _, a := range m.assigned {
+		if a.outcome != open || !a.durable || a.session != m.session {
+			continue
+		}
+		switch {
+		case a.job.over() && a.seen != "":
+			calls = append(calls, stopCall(a.name(), a.onWire(), 0))
+		case a.stop && a.seen != "":
+			if a.seen != workers.Saving {
+				calls = append(calls, stopCall(a.name(), a.onWire(), a.grace))
+			}
+		case a.job.over() || a.stop:
+		case a.seen == "" && !a.sent && !a.ordered && a.doubt == 0 && a.mayRun():
+			a.sent, a.ordered = true, !answer
+			calls = append(calls, workers.Call{Op: workers.OpRun, Task: a.name(), Attempt: a.onWire()})
+		}
+	}
+	var held heldEnds
+	for _, t := range m.reportedTasks {
+		if m.find(refOf(&t)) != nil {
+			continue // its end is not durable yet
+		}
+		switch {
+		case t.State != workers.Ended:
+			calls = append(calls, stopCall(t.Task, t.Attempt, 0))
+		case m.ordered[refOf(&t)] >= m.token:
+			held.add(&t, m.ordered[refOf(&t)], l.mayRunAgain(&t))
+		case answer:
+			calls = append(calls, workers.Call{Op: workers.OpClear, Task: t.Task, Attempt: t.Attempt})
+		}
+	}
+	m.wantsToken = held.wantToken()
+	l.clearHeld = l.clearHeld || m.wantsToken && held.newest >= l.token
+	return calls
+}
+
+func stopCall(task string, attempt uint64, grace float64) workers.Call {
+	return workers.Call{Op: workers.OpStop, Task: task, Attempt: attempt, GraceS: &grace}
+}
--- a/internal/control/scale_test.go
+++ b/internal/control/scale_test.go
@@ -12,7 +12,6 @@
 
 	"ospreyslip/internal/jobs"
 	"ospreyslip/internal/liveness"
-	"ospreyslip/internal/placement"
 	"ospreyslip/internal/state"
 	"ospreyslip/internal/term"
 	"ospreyslip/internal/workers"
@@ -104,7 +103,7 @@
 			b.Fatalf("%d tasks placed", len(m.assigned))
 		}
 		for _, a := range m.assigned {
-			l.over(a, retry)
+			l.conclude(a, retry)
 			l.forget(a)
 		}
 		l.log.begins, l.log.ends = nil, nil
@@ -191,12 +190,9 @@
 
 // successor is the next leader, which has read the log but heard of no machine.
 func successor(l *Leader, segments []state.Pair, now time.Time, specs ...*jobs.Spec) *Leader {
-	next := &Leader{
-		Deps: l.Deps, term: term.Term{Token: 6}, token: 6, fresh: now,
-		machines: newMachineSet(), used: map[string]placement.Amount{}, doubtful: map[*machine]bool{},
-		queued: map[*job]bool{}, runs: map[string]*runs{}, watch: liveness.New(liveness.Config{}),
-		jobs: map[string]*job{},
-	}
+	next := newLeader(l.Deps, term.Term{Token: 6})
+	next.viewTime = now
+	next.watch = liveness.New(liveness.Config{})
 	for _, s := range specs {
 		next.jobs[s.ID] = newJob(s.ID, s, 1, 0, now)
 	}
--- a/internal/control/write.go
+++ b/internal/control/write.go
@@ -41,7 +41,7 @@
 
 // flush starts the next transaction.
 func (l *Leader) flush(ctx context.Context, now time.Time) {
-	if l.writing || !l.raise && len(l.finals) == 0 && !l.log.waiting() || now.Sub(l.flushedAt) < l.Derived.FlushGap || !l.Valid() {
+	if l.writing || !l.raiseToken && len(l.finished) == 0 && !l.log.waiting() || now.Sub(l.flushedAt) < l.Derived.FlushGap || !l.Valid() {
 		return
 	}
 	l.flushedAt = now
@@ -62,7 +62,7 @@
 	l.log.grow(l.Derived.TxnOps / 2)
 	// The segments of a transaction whose outcome is open come first of all.
 	left := l.Derived.TxnOps - l.log.again
-	if l.raise && left > 0 {
+	if l.raiseToken && left > 0 {
 		l.addToken(b)
 		left--
 	}
@@ -71,9 +71,9 @@
 	if l.log.again == 0 && l.log.news() {
 		limit = len(b.writes) + max(1, left/2)
 	}
-	for len(l.finals) > 0 && len(b.writes) < limit {
-		j := l.finals[0]
-		l.finals = l.finals[1:]
+	for len(l.finished) > 0 && len(b.writes) < limit {
+		j := l.finished[0]
+		l.finished = l.finished[1:]
 		l.addFinal(b, j)
 	}
 	segments := 0
@@ -92,8 +92,8 @@
 
 func (l *Leader) addToken(b *batch) {
 	next := l.token + 1
-	l.raise = false
-	b.undo = append(b.undo, func() { l.raise = true })
+	l.raiseToken = false
+	b.undo = append(b.undo, func() { l.raiseToken = true })
 	b.done = append(b.done, func(rev uint64) {
 		l.token, l.tokenRevision = next, rev
 		l.clearHeld = false
@@ -113,7 +113,7 @@
 	}
 	rec := jobs.Record{Tasks: j.spec.Tasks, Spec: j.spec}
 	b.add(jobs.RecordKey(j.id), j.revision, rec.Ended(jobs.Done, l.Derived.ValueBytes), func(uint64) {})
-	b.undo = append(b.undo, func() { l.finals = append(l.finals, j) })
+	b.undo = append(b.undo, func() { l.finished = append(l.finished, j) })
 	b.done = append(b.done, func(uint64) {
 		slog.Debug("job done", "job", j.id, "term", l.token)
 		l.finalDone(j)
@@ -129,7 +129,7 @@
 func (l *Leader) written(ctx context.Context, b *batch, rev uint64, failed []string, err error) {
 	// What was too large is no outage: were it taken for one, and nothing were left to
 	// be written, nothing would be planned any more.
-	l.stuck = err != nil && !errors.Is(err, state.ErrRejected)
+	l.storeFailing = err != nil && !errors.Is(err, state.ErrRejected)
 	if err == nil && len(failed) == 0 {
 		l.writing = false
 		for _, f := range b.done {
@@ -214,7 +214,7 @@
 	if j == nil || jsonv2.Unmarshal(p.Value, &rec) != nil {
 		return
 	}
-	l.finals = slices.DeleteFunc(l.finals, func(f *job) bool { return f == j })
+	l.finished = slices.DeleteFunc(l.finished, func(f *job) bool { return f == j })
 	switch rec.State {
 	case jobs.Done:
 		l.finalDone(j)
--- /dev/null
+++ b/internal/liveness/silence.go
@@ -0,0 +1,61 @@
+package liveness
+
+import (
+	"time"
+)
+
+// Placeable tells whether work may go to a machine: it has reported to this
+// leader and is neither silent, dead nor lagging.
+func (w *Watch) Placeable(id string, now time.Time) bool {
+	m := w.machines[id]
+	return m != nil && m.synced && !m.judged && !m.lagging && m.confirmed == "" && !w.looksDead(m, now)
+}
+
+// Held tells whether a floor holds all verdicts.
+func (w *Watch) Held(now time.Time) bool {
+	for _, m := range w.all {
+		if m.floor != (Counter{}) && now.Before(m.holdUntil) {
+			return true
+		}
+	}
+	return false
+}
+
+// Disrupted tells whether every zone looks dead.
+func (w *Watch) Disrupted() bool { return w.disrupted }
+
+func (w *Watch) silent(m *machine, now time.Time) bool {
+	limit := w.cfg.SilentFor
+	if !m.synced {
+		limit = w.cfg.LeaseOver
+	}
+	return now.Sub(m.heard) > limit
+}
+
+// looksDead tells whether a machine is to be called.
+func (w *Watch) looksDead(m *machine, now time.Time) bool {
+	return m.suspect || m.unreachable || w.silent(m, now)
+}
+
+// leastGroup is how many machines a zone needs for its silence to say more than
+// that of each: the periods of a few may fall together.
+const leastGroup = 4
+
+// silentGroup tells whether so many machines have been unheard for so long that what
+// lies between them and us, or all of them, must be gone.
+func (w *Watch) silentGroup(machines int, heard, now time.Time) bool {
+	return w.cfg.GroupSilent > 0 && machines >= leastGroup && !heard.IsZero() && now.Sub(heard) > w.cfg.GroupSilent
+}
+
+// ZoneSilent tells whether a zone fell silent within the last while and nobody in it
+// has been heard since, even if all its machines were given back.
+func (w *Watch) ZoneSilent(zone string, now time.Time, while time.Duration) bool {
+	z := w.zones[zone]
+	return z != nil && !z.silentSince.IsZero() && now.Sub(z.silentSince) < while
+}
+
+// missed tells whether a report that should have come did not. That alone says
+// little; the machine is called.
+func (w *Watch) missed(m *machine, now time.Time) bool {
+	return m.synced && (w.cfg.Overdue > 0 && now.Sub(m.heard) > w.cfg.Overdue || w.silentGroup(m.zone.machines, m.zone.heard, now))
+}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -10,8 +10,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/url"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -164,71 +162,6 @@
 	return fmt.Errorf("%w: %s: status %d", ErrRefused, what, status)
 }
 
-// Get reads one key. A key that does not exist is found == false with no error.
-func (c *Client) Get(ctx context.Context, key string) (p Pair, found bool, err error) {
-	status, err := c.do(ctx, c.wait, http.MethodGet, "/keys/"+key, nil, &p)
-	switch {
-	case err != nil:
-		return Pair{}, false, err
-	case status == http.StatusOK:
-		return p, true, nil
-	case status == http.StatusNotFound:
-		return Pair{}, false, nil
-	}
-	return Pair{}, false, unexpected(status, "get "+key)
-}
-
-// List reads all keys with a prefix. The revision is that of the first page:
-// a watch from there sees every change that later pages may have missed.
-func (c *Client) List(ctx context.Context, prefix string) (pairs []Pair, revision uint64, err error) {
-	revision, err = c.Each(ctx, prefix, func(p Pair) { pairs = append(pairs, p) })
-	if err != nil {
-		return nil, 0, err
-	}
-	return pairs, revision, nil
-}
-
-// Each is List for keys of which there may be more than fit into memory: it hands over
-// one after the other. After an error, some may have been handed over.
-func (c *Client) Each(ctx context.Context, prefix string, take func(Pair)) (revision uint64, err error) {
-	after := ""
-	for {
-		page, err := c.page(ctx, prefix, after)
-		if err != nil {
-			return 0, err
-		}
-		if revision == 0 {
-			revision = page.Tide
-		}
-		for _, p := range page.Pairs {
-			take(p)
-		}
-		if !page.More || len(page.Pairs) == 0 {
-			return revision, nil
-		}
-		after = page.Pairs[len(page.Pairs)-1].Key
-	}
-}
-
-// keyPage is a part of the keys with a prefix.
-type keyPage struct {
-	Pairs []Pair `json:"pairs"`
-	More  bool   `json:"hasNext"`
-	Tide  uint64 `json:"tide"`
-}
-
-func (c *Client) page(ctx context.Context, prefix, after string) (page keyPage, err error) {
-	path := "/keys?prefix=" + url.QueryEscape(prefix) + "&most=1000"
-	if after != "" {
-		path += "&after=" + url.QueryEscape(after)
-	}
-	status, err := c.do(ctx, c.wait, http.MethodGet, path, nil, &page)
-	if err == nil && status != http.StatusOK {
-		err = unexpected(status, "list "+prefix)
-	}
-	return page, err
-}
-
 // Commit applies a transaction. Failed guards are returned by key with no
 // error; then nothing was written. ErrUnknown leaves the outcome open.
 func (c *Client) Commit(ctx context.Context, guards []Guard, writes []Write) (revision uint64, failed []string, err error) {
@@ -263,74 +196,3 @@
 	}
 	return 0, nil, unexpected(status, "commit")
 }
-
-// Grant makes a lease.
-func (c *Client) Grant(ctx context.Context, life time.Duration) (uint64, error) {
-	var out struct {
-		Lease uint64 `json:"tether"`
-	}
-	status, err := c.do(ctx, c.wait, http.MethodPost, "/grants", map[string]int64{"lifeMs": life.Milliseconds()}, &out)
-	if err == nil && status != http.StatusOK {
-		err = unexpected(status, "grant")
-	}
-	return out.Lease, err
-}
-
-// Renew gives a lease its full time again. It passes by the node's own request
-// budget: nothing else is worth sending when the term is lost. How long it may take is
-// for the caller.
-func (c *Client) Renew(ctx context.Context, lease uint64) error {
-	status, err := c.send(ctx, http.MethodPost, "/grants/"+strconv.FormatUint(lease, 10)+"/renew", nil, nil)
-	switch {
-	case err != nil:
-		return err
-	case status == http.StatusNotFound:
-		return ErrNoLease
-	case status != http.StatusOK:
-		return unexpected(status, "renew")
-	}
-	return nil
-}
-
-// Revoke ends a lease and removes its keys.
-func (c *Client) Revoke(ctx context.Context, lease uint64) error {
-	_, err := c.do(ctx, c.wait, http.MethodDelete, "/grants/"+strconv.FormatUint(lease, 10), nil, nil)
-	return err
-}
-
-// noKey is a key that is never written: the answer that it does not exist tells
-// the revision.
-const noKey = "nothing"
-
-// Revision returns a revision that is no older than the call.
-func (c *Client) Revision(ctx context.Context) (uint64, error) {
-	var out struct {
-		Tide uint64 `json:"tide"`
-	}
-	status, err := c.do(ctx, c.wait, http.MethodGet, "/keys/"+noKey, nil, &out)
-	if err == nil && status != http.StatusNotFound {
-		err = unexpected(status, "revision")
-	}
-	return out.Tide, err
-}
-
-// Watch returns the changes under a prefix after a revision. An empty result
-// means that there was none while it waited, or that the service cannot tell: only
-// a revision that has reached one asked for with Revision proves anything.
-func (c *Client) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (revision uint64, changes []Change, err error) {
-	path := fmt.Sprintf("/watch?prefix=%s&after=%d&waitMs=%d", url.QueryEscape(prefix), after, wait.Milliseconds())
-	var out struct {
-		Tide uint64   `json:"tide"`
-		Log  []Change `json:"log"`
-	}
-	status, err := c.do(ctx, wait+c.wait, http.MethodGet, path, nil, &out)
-	switch {
-	case err != nil:
-		return 0, nil, err
-	case status == http.StatusGone:
-		return 0, nil, ErrCompacted
-	case status != http.StatusOK:
-		return 0, nil, unexpected(status, "watch")
-	}
-	return out.Tide, out.Log, nil
-}
--- /dev/null
+++ b/internal/term/campaign.go
@@ -0,0 +1,143 @@
+package term
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	mrand "math/rand/v2"
+	"time"
+
+	"ospreyslip/internal/state"
+)
+
+// Run campaigns until the context ends. For each term it calls lead, whose
+// context ends with the term, and waits for its return before going on.
+func (k *Keeper) Run(ctx context.Context, lead func(context.Context, Term)) {
+	var standDown time.Time
+	for ctx.Err() == nil {
+		asked := time.Now()
+		s, err := k.read(ctx)
+		if err != nil {
+			slog.Debug("term not read", "reason", err)
+			k.pause(ctx)
+			continue
+		}
+		k.holder.Store(s.holder)
+		k.listened(asked)
+		k.promised.know(s.token)
+		// Our own key from an earlier life is free to take: its holder is gone.
+		own := s.holder != nil && s.holder.Node == k.node
+		if s.holder != nil && !own {
+			k.follow(ctx, s.revision, k.timing.WatchWait)
+			continue
+		}
+		now, first := time.Now(), own || s.tokenRevision == 0
+		if left := max(standDown.Sub(now), k.promised.left(now, first)); left > 0 {
+			k.follow(ctx, s.revision, min(left, k.timing.WatchWait))
+			continue
+		}
+		t, lease, sent, err := k.take(ctx, s, first)
+		if err != nil {
+			slog.Debug("term not taken", "reason", err)
+			k.pause(ctx)
+			continue
+		}
+		if k.hold(ctx, t, lease, sent, lead) == resigned {
+			standDown = time.Now().Add(2 * k.timing.Lease)
+		}
+	}
+}
+
+// stored is what the state service has of the term.
+type stored struct {
+	holder         *Holder // nil if nobody holds it
+	holderRevision uint64
+	token          uint64 // the highest ever given out
+	tokenRevision  uint64 // 0 if nobody ever held it
+	revision       uint64 // as of which all this was read
+}
+
+func (k *Keeper) read(ctx context.Context) (stored, error) {
+	pairs, revision, err := k.store.List(ctx, prefix)
+	if err != nil {
+		return stored{}, err
+	}
+	s := stored{revision: revision}
+	for _, p := range pairs {
+		var into any
+		switch p.Key {
+		case HolderKey:
+			s.holder, s.holderRevision = new(Holder), p.Revision
+			into = s.holder
+		case TokenKey:
+			s.tokenRevision = p.Revision
+			into = &s.token
+		default:
+			continue
+		}
+		if err := json.Unmarshal(p.Value, into); err != nil {
+			return stored{}, fmt.Errorf("%s: %w", p.Key, err)
+		}
+	}
+	return s, nil
+}
+
+// follow waits until something about the term changes.
+func (k *Keeper) follow(ctx context.Context, after uint64, wait time.Duration) {
+	_, changes, err := k.store.Watch(ctx, prefix, after, wait)
+	if err != nil && !errors.Is(err, state.ErrCompacted) {
+		k.pause(ctx)
+		return
+	}
+	k.listened(time.Now())
+	for _, c := range changes {
+		if c.Remove == HolderKey {
+			k.holder.Store(nil)
+		}
+	}
+}
+
+// take campaigns for the term on what was read of it. It returns the term, its lease and
+// when that was asked for. First is true if no promise of an earlier life can matter.
+func (k *Keeper) take(ctx context.Context, s stored, first bool) (Term, uint64, time.Time, error) {
+	sent := time.Now()
+	lease, err := k.store.Grant(ctx, k.timing.Lease)
+	if err != nil {
+		return Term{}, 0, sent, fmt.Errorf("grant: %w", err)
+	}
+	h := Holder{Node: k.node, Life: k.life, Token: s.token + 1}
+	value, _ := json.Marshal(h)
+	next, _ := json.Marshal(h.Token)
+	if !k.promised.campaign(time.Now(), first, s.token) {
+		_ = k.store.Revoke(ctx, lease)
+		return Term{}, 0, sent, errors.New("promised not to")
+	}
+	rev, failed, err := k.store.Commit(ctx,
+		[]state.Guard{{Key: HolderKey, Revision: s.holderRevision}, {Key: TokenKey, Revision: s.tokenRevision}},
+		[]state.Write{{Set: HolderKey, Value: value, Lease: lease}, {Set: TokenKey, Value: next}})
+	if !errors.Is(err, state.ErrUnknown) {
+		k.promised.settled()
+	}
+	if err == nil && len(failed) == 0 {
+		k.promised.know(h.Token)
+		return Term{Token: h.Token, Revision: rev, TokenRevision: rev, Since: time.Now()}, lease, sent, nil
+	}
+	// An unknown outcome is not pursued: should the transaction be applied
+	// late, its lease is no longer renewed and the key falls free by itself.
+	// Ending the lease at once keeps that from costing a whole lease.
+	drop, cancel := context.WithTimeout(ctx, k.timing.Retry)
+	defer cancel()
+	_ = k.store.Revoke(drop, lease)
+	return Term{}, 0, sent, errors.Join(err, fmt.Errorf("guards failed: %v", failed))
+}
+
+// pause spreads the tries of several nodes.
+func (k *Keeper) pause(ctx context.Context) {
+	wait := k.timing.Retry/2 + mrand.N(k.timing.Retry)
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+}
