--- /dev/null
+++ b/internal/node/overload_test.go
@@ -0,0 +1,112 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"ospreyslip/internal/settings"
+	"ospreyslip/internal/standin"
+)
+
+// More users than a node can serve ask while the state service answers slowly: each is
+// answered before it gives up, with what it asked for or with 503 at once, the same leader
+// goes on, and no worker loses its lease.
+func TestOverloadBySlowState(t *testing.T) {
+	tweak := func(s *settings.Settings) { s.Deployment.Limits.MaxSockets = 256 }
+	inCluster(t, tweak, func(c *cluster) {
+		c.allUp()
+		leader, starts := c.leader(), c.world.Starts()
+		c.world.Net.Lateness = 700 * time.Millisecond
+		end, hits := c.trouble(func(_, to, _ string) standin.Fault {
+			if to == "state" {
+				return standin.Slow
+			}
+			return standin.Deliver
+		})
+		var served, refused, late atomic.Int64
+		var users sync.WaitGroup
+		for round := range 40 {
+			for i := range 60 {
+				users.Go(func() {
+					began := time.Now()
+					status, _ := c.ask("GET", c.names[i%3], fmt.Sprintf("/v1/jobs/j-%d", 1+i%2), nil)
+					switch {
+					case time.Since(began) > 2*time.Second || status == 0:
+						late.Add(1)
+					case status == http.StatusOK:
+						served.Add(1)
+					case status == http.StatusServiceUnavailable:
+						refused.Add(1)
+					default:
+						t.Errorf("round %d: %d", round, status)
+					}
+				})
+			}
+			c.run(500 * time.Millisecond)
+		}
+		users.Wait()
+		end()
+		if late.Load() > 0 || served.Load() == 0 || refused.Load() == 0 || hits() < 100 {
+			t.Errorf("%d served, %d refused, %d late, %d slow answers", served.Load(), refused.Load(), late.Load(), hits())
+		}
+		if now := c.leader(); now != leader || c.world.Starts() != starts {
+			t.Errorf("led by %s, then %s; %d tasks began anew", leader, now, c.world.Starts()-starts)
+		}
+		c.run(5 * time.Second)
+		c.submit("perch-1", batch("j-9", 2, 5))
+		c.withinDone(60*time.Second, "j-9")
+	})
+}
+
+// All controllers are back within a fraction of a second, and all workers of a fleet that is
+// full connect anew. What runs goes on, each worker is heard within two report periods, and
+// in the first of them no order is sent to a machine that has nothing to be told.
+func TestAllWorkersReconnect(t *testing.T) {
+	const machines = 40
+	noLimit := func(s *settings.Settings) { s.Deployment.Teams = []settings.Team{{Name: "red"}, {Name: "blue"}} }
+	inCluster(t, noLimit, func(c *cluster) {
+		c.submit("perch-0", batch("j-1", 4*machines, 300))
+		c.within(90*time.Second, "all tasks run", func() bool { return c.on("j-1", 4*machines) == 4*machines })
+		c.run(10 * time.Second)
+		starts := c.world.Starts()
+		var orders atomic.Int64
+		reported := sync.Map{}
+		end, _ := c.trouble(func(from, _, path string) standin.Fault {
+			switch {
+			case path == "/orders":
+				orders.Add(1)
+			case strings.HasSuffix(path, "/report"):
+				reported.Store(from, true)
+			}
+			return standin.Deliver
+		})
+		c.crash(c.names...)
+		c.run(200 * time.Millisecond)
+		for _, n := range c.names {
+			c.start(n)
+		}
+		d := c.settings("perch-0").Derive()
+		c.run(2 * d.Report)
+		heard := 0
+		reported.Range(func(any, any) bool { heard++; return true })
+		if heard < machines {
+			t.Errorf("%d of %d workers have reported", heard, machines)
+		}
+		if n := orders.Load(); n > machines/4 {
+			t.Errorf("%d orders to %d machines that have nothing to be told", n, machines)
+		}
+		c.run(d.Lease + d.Report)
+		end()
+		if n := c.world.Starts() - starts; n != 0 || c.on("j-1", 4*machines) != 4*machines {
+			t.Errorf("%d tasks began anew, %d of %d run", n, c.on("j-1", 4*machines), 4*machines)
+		}
+		if c.leader() == "" {
+			t.Error("nobody leads")
+		}
+	})
+}
