Want of sockets confirms no death, and attempts to connect end

Change: such a call says nothing and is made again; an attempt to connect ends with the wait for its answer, where http.Transport goes on with it.

--- /dev/null
+++ b/internal/control/call_test.go
@@ -0,0 +1,47 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"ospreyslip/internal/liveness"
+)
+
+// A call that fails since this process has no socket left says nothing of its machine: it
+// is made again, and confirms no death. One that its machine does not answer does.
+func TestCallWithoutASocket(t *testing.T) {
+	noSocket := &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("socket", syscall.EMFILE)}
+	for _, tc := range []struct {
+		name string
+		err  error
+		dead bool
+	}{
+		{"no socket left", fmt.Errorf("Get: %w", noSocket), false},
+		{"no answer", context.DeadlineExceeded, true},
+		{"refused", &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}, true},
+		{"unreadable", errors.New("unexpected end of JSON input"), true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			l, m, _, now := bench()
+			l.watch.Heard("m-2", "b", liveness.Counter{Session: 1, Seq: 1}, now)
+			now = now.Add(3 * time.Second) // m-1 is silent
+			l.watch.Heard("m-2", "b", liveness.Counter{Session: 1, Seq: 2}, now)
+			if calls, _ := l.watch.Tick(now, 9); len(calls) != 1 || calls[0] != m.id {
+				t.Fatalf("calls: %v", calls)
+			}
+			l.inspected(m, nil, tc.err, now)
+			now = now.Add(500 * time.Millisecond)
+			l.watch.Heard("m-2", "b", liveness.Counter{Session: 1, Seq: 3}, now)
+			calls, verdicts := l.watch.Tick(now, 9)
+			if dead := len(verdicts) > 0; dead != tc.dead || (len(calls) == 1) == tc.dead {
+				t.Errorf("calls again: %v, verdicts: %v", calls, verdicts)
+			}
+		})
+	}
+}
--- a/internal/control/tick.go
+++ b/internal/control/tick.go
@@ -146,6 +146,10 @@
 
 func (l *Leader) inspected(m *machine, r *workers.Report, err error, now time.Time) {
 	l.callsInFlight--
+	if workers.NoSocket(err) {
+		l.watch.CallLost(m.id, now) // it never left this process
+		return
+	}
 	if err != nil {
 		l.watch.CallDone(m.id, false, liveness.Counter{}, now)
 		return
--- a/internal/liveness/tick.go
+++ b/internal/liveness/tick.go
@@ -73,6 +73,15 @@
 	})
 }
 
+// CallLost takes in that a call failed for the caller's own want of something: it says
+// nothing of the machine. It is made again a little later.
+func (w *Watch) CallLost(id string, now time.Time) {
+	if m := w.machines[id]; m != nil && m.calling {
+		m.calling = false
+		m.callAfter = now.Add(w.cfg.HoldGrace / 4)
+	}
+}
+
 // CallDone takes in the outcome of a call that Tick asked for.
 func (w *Watch) CallDone(id string, ok bool, c Counter, now time.Time) {
 	m := w.machines[id]
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -71,11 +71,11 @@
 // New makes a node from checked settings.
 func New(set *settings.Settings, w Wire) *Node {
 	d := set.Derive()
-	pick := func(each, all int) http.RoundTripper {
+	pick := func(each, all int, wait time.Duration) http.RoundTripper {
 		if w.HTTP != nil {
 			return w.HTTP
 		}
-		return transport(each, all)
+		return transport(each, all, wait)
 	}
 	if w.Dial == nil {
 		w.Dial = dialPeer
@@ -85,8 +85,8 @@
 		users, cluster = listenForUsers, listenForPeers
 	}
 	n := &Node{set: set, d: d, listenForUsers: users, listenForPeers: cluster, born: time.Now(), counts: control.NewCounts(), gate: &control.Gate{}}
-	n.workers = workers.NewClient(pick(2, d.WorkerConns), d.CallWait)
-	n.store = state.New(set.Endpoints.State, pick(d.StateConns, 0), d.StateWait, n.budget(false))
+	n.workers = workers.NewClient(pick(2, d.WorkerConns, d.CallWait), d.CallWait)
+	n.store = state.New(set.Endpoints.State, pick(d.StateConns, 0, d.StateWait), d.StateWait, n.budget(false))
 	n.cache = jobs.NewCache(n.store, d.PollGap, d.Cancel/4, d.CancelsKept)
 	n.keeper = term.NewKeeper(set.Node, n.store, term.Timing{
 		Lease: d.TermLease, Renew: d.TermRenew, Safe: d.TermSafe, WatchWait: d.WatchWait, Retry: d.TermRenew,
@@ -112,7 +112,7 @@
 	if len(set.Peers) == set.Deployment.Nodes-1 {
 		n.keeper.AllPromise = n.allPromise
 	}
-	n.cloud = fleet.NewCloud(set.Endpoints.Cloud, pick(d.CloudConns, 0), d.CloudWait, set.Deployment.Cloud.RPS*cloudShare)
+	n.cloud = fleet.NewCloud(set.Endpoints.Cloud, pick(d.CloudConns, 0, d.CloudWait), d.CloudWait, set.Deployment.Cloud.RPS*cloudShare)
 	return n
 }
 
--- a/internal/node/sockets.go
+++ b/internal/node/sockets.go
@@ -31,9 +31,11 @@
 }
 
 // transport makes connections to one kind of service: a few to each address,
-// all together within this node's sockets.
-func transport(each, all int) http.RoundTripper {
-	dialer := net.Dialer{KeepAlive: noKeepAlive}
+// all together within this node's sockets. An attempt to connect ends after wait: the
+// transport goes on with it after its request was given up, and each holds a socket. To a
+// zone that is cut off there would soon be thousands.
+func transport(each, all int, wait time.Duration) http.RoundTripper {
+	dialer := net.Dialer{KeepAlive: noKeepAlive, Timeout: wait}
 	return &http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConns:        all,
--- a/internal/workers/calls.go
+++ b/internal/workers/calls.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/go-json-experiment/json"
@@ -15,6 +17,12 @@
 // report is one line.
 const maxReport = 64 << 10
 
+// NoSocket tells whether a call failed since this process has no socket left: that says
+// nothing of the worker.
+func NoSocket(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.EADDRNOTAVAIL)
+}
+
 // Client calls workers.
 type Client struct {
 	http *http.Client
