The first answer of a new leader stops what is cancelled

A report from before the term is answered with the token and nothing else, which renews the worker's lease; four leaders in turn did so and ended before the next report, the last at 155 to 159 s, and the tasks ran until 201 s, when 198 s was the limit. Ruled out: promises (the leader knew of the cancellations, by their records). Change: that answer carries stops for the tasks in the report whose jobs are cancelled.

--- a/internal/control/picture_test.go
+++ b/internal/control/picture_test.go
@@ -157,6 +157,33 @@
 	}
 }
 
+// An answer to a report from before the term renews the worker's lease. It stops what is
+// cancelled there: were this leader to end before the next report, as in an outage that
+// follows a change of leaders, such a task would outlast the time of its cancellation.
+// (Found on the bench: ran_cancelled, by 0.5.0 with leaders that changed every ten seconds.)
+func TestOldReportsOfCancelledTasks(t *testing.T) {
+	l, m, j, now := bench()
+	live := newJob("j-2", &jobs.Spec{ID: "j-2", Team: "red", Shape: jobs.Batch, Priority: jobs.Standard, Tasks: 1, CPUs: 1}, 1, 0, now)
+	l.jobs[live.id] = live
+	l.cancelled(j, 9)
+	old := report(1, 9,
+		workers.Task{Task: "j-1/0", Attempt: 101, State: workers.Running},
+		workers.Task{Task: "j-1/1", Attempt: 102, State: workers.Ended, Cause: workers.CauseDone},
+		workers.Task{Task: "j-2/0", Attempt: 103, State: workers.Running},
+		workers.Task{Task: "j-3/0", Attempt: 104, State: workers.Running})
+	old.Token = 4
+	a := l.report(old, now.Add(time.Second))
+	if a == nil || a.Token != 5 || len(a.Calls) != 1 {
+		t.Fatalf("answered %+v, want one stop", a)
+	}
+	if c := a.Calls[0]; c.Op != workers.OpStop || c.Task != "j-1/0" || c.Attempt != 101 || *c.GraceS != 0 {
+		t.Errorf("call %+v, want j-1/0 to stop at once", c)
+	}
+	if m.seq == 9 {
+		t.Error("an old report counted as news")
+	}
+}
+
 // A machine that was judged dead comes back while the cloud does not take it back.
 // Were its reports answered, its tasks would run on, even those of cancelled jobs.
 func TestReturningMachinesAreNotAnswered(t *testing.T) {
--- a/internal/control/report.go
+++ b/internal/control/report.go
@@ -37,7 +37,7 @@
 		// Sent before the worker heard of this term, or a copy of such a report
 		// that was under way for any length of time. It proves nothing; the
 		// answer brings the token, and with it a report that does.
-		return &workers.Answer{Token: l.term.Token, Calls: []workers.Call{}}
+		return &workers.Answer{Token: l.term.Token, Calls: l.stopsOfCancelled(r)}
 	}
 	if m == nil {
 		m = newMachine(r.Machine, now)
@@ -63,6 +63,21 @@
 	return &workers.Answer{Token: l.tokenFor(m), Calls: calls}
 }
 
+// stopsOfCancelled returns stops for the tasks in a report whose jobs are cancelled. Any
+// answer renews the worker's lease: were it without them, and this leader to end before
+// the next report, they would run for a whole lease more, and one leader after the other
+// could give them that. To stop them is right however old the report is.
+func (l *Leader) stopsOfCancelled(r *workers.Report) []workers.Call {
+	calls := []workers.Call{}
+	for _, t := range r.Tasks {
+		id, _, ok := workers.SplitTask(t.Task)
+		if j := l.jobs[id]; ok && j != nil && j.cancelled && t.State != workers.Ended {
+			calls = append(calls, stopCall(t.Task, t.Attempt, 0))
+		}
+	}
+	return calls
+}
+
 // mayStartCancelled tells whether an order on its way may still begin a task whose job
 // is cancelled. A higher token ends that, but in an outage of the state service there
 // is none to be had. Then the worker's lease has to end in time, and with it the
