--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -72,8 +72,9 @@
 				m.ordered[ref{c.Task, c.Attempt}] = token
 			}
 		}
+		addr := m.addr // a report may change it meanwhile
 		go func() {
-			r, ok, err := l.Workers.Order(ctx, m.addr, order)
+			r, ok, err := l.Workers.Order(ctx, addr, order)
 			l.post(ctx, func(now time.Time) { l.ordered(m, order, r, ok, err, now) })
 		}()
 	}
--- a/internal/control/tick.go
+++ b/internal/control/tick.go
@@ -107,8 +107,9 @@
 			continue
 		}
 		l.callsInFlight++
+		addr := m.addr // a report may change it meanwhile
 		go func() {
-			r, err := l.Workers.Inspect(ctx, m.addr)
+			r, err := l.Workers.Inspect(ctx, addr)
 			l.post(ctx, func(now time.Time) { l.inspected(m, r, err, now) })
 		}()
 	}
--- a/internal/node/overload_test.go
+++ b/internal/node/overload_test.go
@@ -19,9 +19,9 @@
 func TestOverloadBySlowState(t *testing.T) {
 	tweak := func(s *settings.Settings) { s.Deployment.Limits.MaxSockets = 256 }
 	inCluster(t, tweak, func(c *cluster) {
+		c.world.Net.Lateness = 700 * time.Millisecond // of what the rule below calls slow
 		c.allUp()
 		leader, starts := c.leader(), c.world.Starts()
-		c.world.Net.Lateness = 700 * time.Millisecond
 		end, hits := c.trouble(func(_, to, _ string) standin.Fault {
 			if to == "state" {
 				return standin.Slow
--- a/internal/term/term_test.go
+++ b/internal/term/term_test.go
@@ -155,10 +155,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		world, store := standin.NewNet(), standin.NewState()
 		world.Attach("state", "state:1", store)
+		world.Lateness = timing.Safe * 7 / 10 // of what the rule below calls slow
 		never := func(context.Context, uint64) bool { return false }
 		k, terms, stop := keep(t, world, "perch-0", never)
 		time.Sleep(time.Second)
-		world.Lateness = timing.Safe * 7 / 10
 		world.Faults(func(_, _, path string) standin.Fault {
 			if strings.HasSuffix(path, "/renew") {
 				return standin.Slow
