Term: a lost holder key or token ends no order; loss detection

Cause: with term/holder lost, the old holder renewed a lease that held nothing, and another node took the term beside it; with term/token lost, tokens were given out twice. Now a campaign ends the last holder's lease first and waits if that was alive, the holder looks at its key once in a term lease, and no token is below one that was known. internal/loss decides what tells of a loss; the stand-in service can lose keys.

--- /dev/null
+++ b/internal/standin/loss.go
@@ -0,0 +1,69 @@
+package standin
+
+import (
+	"maps"
+	"slices"
+	"strings"
+)
+
+// Lose removes the keys that match and returns them. The watch shows it as a change, as
+// of a service that is told to delete; silently, nothing shows and the revision stays.
+func (s *State) Lose(silently bool, match func(key string) bool) (lost []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !silently {
+		s.rev++
+	}
+	for _, key := range s.sorted("") {
+		if !match(key) {
+			continue
+		}
+		lost = append(lost, key)
+		delete(s.keys, key)
+		if !silently {
+			s.log = append(s.log, change{Remove: key, Revision: s.rev})
+		}
+	}
+	s.wake()
+	return lost
+}
+
+// WithPrefix matches all keys with a prefix.
+func WithPrefix(prefix string) func(string) bool {
+	return func(key string) bool { return strings.HasPrefix(key, prefix) }
+}
+
+// Only matches one key.
+func Only(key string) func(string) bool {
+	return func(other string) bool { return other == key }
+}
+
+// Backup is the state service as of a moment.
+type Backup struct {
+	keys map[string]entry
+	log  []change
+	rev  uint64
+}
+
+// Backup copies all keys and changes.
+func (s *State) Backup() Backup {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Backup{maps.Clone(s.keys), slices.Clone(s.log), s.rev}
+}
+
+// Restore puts the service back to a backup: all changes since are lost, and revisions
+// are given out again. Leases live on, as they are not part of it.
+func (s *State) Restore(b Backup) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.keys, s.log, s.rev = maps.Clone(b.keys), slices.Clone(b.log), b.rev
+	s.wake()
+}
+
+// Revision returns the revision of the last change.
+func (s *State) Revision() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rev
+}
--- a/internal/state/lease.go
+++ b/internal/state/lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -35,6 +36,20 @@
 	return nil
 }
 
+// EndIfAlive ends a lease that still lives, and tells whether it did.
+func (c *Client) EndIfAlive(ctx context.Context, lease uint64) (alive bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, c.wait)
+	defer cancel()
+	err = c.Renew(ctx, lease)
+	if errors.Is(err, ErrNoLease) {
+		return false, nil
+	}
+	if err != nil {
+		return false, err
+	}
+	return true, c.Revoke(ctx, lease)
+}
+
 // Revoke ends a lease and removes its keys.
 func (c *Client) Revoke(ctx context.Context, lease uint64) error {
 	_, err := c.do(ctx, c.wait, http.MethodDelete, "/grants/"+strconv.FormatUint(lease, 10), nil, nil)
--- a/internal/term/campaign.go
+++ b/internal/term/campaign.go
@@ -9,6 +9,7 @@
 	mrand "math/rand/v2"
 	"time"
 
+	"ospreyslip/internal/loss"
 	"ospreyslip/internal/state"
 )
 
@@ -26,14 +27,28 @@
 		}
 		k.holder.Store(s.holder)
 		k.listened(asked)
-		k.promised.know(s.token)
+		s.token = k.atLeastKnown(s.token)
 		// Our own key from an earlier life is free to take: its holder is gone.
 		own := s.holder != nil && s.holder.Node == k.node
+		if s.holder != nil {
+			k.last = *s.holder
+		}
 		if s.holder != nil && !own {
 			k.follow(ctx, s.revision, k.timing.WatchWait)
 			continue
 		}
-		now, first := time.Now(), own || s.tokenRevision == 0
+		if s.holder == nil {
+			lost, err := k.endLast(ctx)
+			if err != nil {
+				slog.Debug("lease of the last holder not ended", "reason", err)
+				k.pause(ctx)
+				continue
+			}
+			if lost {
+				standDown = time.Now().Add(k.timing.Lease)
+			}
+		}
+		now, first := time.Now(), own || s.tokenRevision == 0 && k.promised.highest() == 0
 		if left := max(standDown.Sub(now), k.promised.left(now, first)); left > 0 {
 			k.follow(ctx, s.revision, min(left, k.timing.WatchWait))
 			continue
@@ -50,6 +65,36 @@
 	}
 }
 
+// atLeastKnown takes in the stored token. Should the state service have lost it, or have
+// been put back to an older one, the highest that this node knows of takes its place: no
+// token may be given out twice.
+func (k *Keeper) atLeastKnown(stored uint64) uint64 {
+	if known := k.promised.highest(); stored < known {
+		k.Lost(loss.Loss{Kind: loss.TokenBack, Key: TokenKey, Known: known, Found: stored})
+		return known
+	}
+	k.promised.know(stored)
+	return stored
+}
+
+// endLast ends the lease of the last holder known, when nobody holds the term. Mostly it
+// has ended by itself, and the key with it. If it is alive, then the key was lost: the
+// holder goes on renewing it and has to learn that it is over.
+func (k *Keeper) endLast(ctx context.Context) (lost bool, err error) {
+	if k.last.Lease == 0 || k.last.Life == k.life {
+		return false, nil
+	}
+	alive, err := k.store.EndIfAlive(ctx, k.last.Lease)
+	if err != nil {
+		return false, err
+	}
+	if alive {
+		k.Lost(loss.Loss{Kind: loss.HolderLost, Key: HolderKey, Known: k.last.Token})
+	}
+	k.last.Lease = 0
+	return alive, nil
+}
+
 // stored is what the state service has of the term.
 type stored struct {
 	holder         *Holder // nil if nobody holds it
@@ -107,7 +152,7 @@
 	if err != nil {
 		return Term{}, 0, sent, fmt.Errorf("grant: %w", err)
 	}
-	h := Holder{Node: k.node, Life: k.life, Token: s.token + 1}
+	h := Holder{Node: k.node, Life: k.life, Token: s.token + 1, Lease: lease}
 	value, _ := json.Marshal(h)
 	next, _ := json.Marshal(h.Token)
 	if !k.promised.campaign(time.Now(), first, s.token) {
--- a/internal/term/hold.go
+++ b/internal/term/hold.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"time"
 
+	"ospreyslip/internal/loss"
 	"ospreyslip/internal/state"
 )
 
@@ -16,6 +17,34 @@
 // resigned is why a term ends when lead returns by itself.
 const resigned = "resigned"
 
+// keyLost is why a term ends when the holder's key is gone, or another's, though its lease
+// is renewed.
+const keyLost = "holder key lost"
+
+// watchOwnKey looks at the holder's key once in a term lease, and closes lost when it is
+// not this term's any more. Without it, a holder whose key the state service has lost
+// would go on for as long as its lease is renewed, beside the next one.
+func (k *Keeper) watchOwnKey(ctx context.Context, t Term, lost chan<- struct{}) {
+	tick := time.NewTicker(k.timing.Lease)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		p, found, err := k.store.Get(ctx, HolderKey)
+		if err != nil || found && p.Revision == t.Revision {
+			continue
+		}
+		if ctx.Err() == nil && k.Valid() {
+			k.Lost(loss.Loss{Kind: loss.HolderLost, Key: HolderKey, Known: t.Revision, Found: p.Revision})
+		}
+		close(lost)
+		return
+	}
+}
+
 // hold keeps the term until it can no longer be proven, and tells why it ended.
 func (k *Keeper) hold(ctx context.Context, t Term, lease uint64, sent time.Time, lead func(context.Context, Term)) (reason string) {
 	k.extend(sent)
@@ -33,7 +62,9 @@
 		defer close(done)
 		lead(leadCtx, t)
 	}()
-	reason = k.renew(leadCtx, lease, t.Token, done)
+	lost := make(chan struct{})
+	go k.watchOwnKey(leadCtx, t, lost)
+	reason = k.renew(leadCtx, lease, t.Token, done, lost)
 	k.until.Store(0)
 	k.holder.CompareAndSwap(self, nil)
 	stop()
@@ -47,7 +78,7 @@
 
 // renew keeps the lease. While the state service does not answer, promises of
 // all other nodes take its place: see docs/design.md for why that is safe.
-func (k *Keeper) renew(ctx context.Context, lease, token uint64, done <-chan struct{}) (reason string) {
+func (k *Keeper) renew(ctx context.Context, lease, token uint64, done, lost <-chan struct{}) (reason string) {
 	tick := time.NewTicker(k.timing.Renew)
 	defer tick.Stop()
 	type outcome struct {
@@ -64,6 +95,8 @@
 			return "shutting down"
 		case <-done:
 			return resigned
+		case <-lost:
+			return keyLost
 		case o := <-renewals:
 			renewing--
 			switch {
--- a/internal/term/promise.go
+++ b/internal/term/promise.go
@@ -46,6 +46,13 @@
 	p.known = max(p.known, token)
 }
 
+// highest returns the highest token known to have been given out.
+func (p *promise) highest() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.known
+}
+
 // settled notes that the campaign's outcome is known.
 func (p *promise) settled() {
 	p.mu.Lock()
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"ospreyslip/internal/loss"
 	"ospreyslip/internal/state"
 )
 
@@ -27,6 +28,8 @@
 	Node  string `json:"node"`
 	Life  string `json:"life"` // one run of that node's process
 	Token uint64 `json:"token"`
+	// Lease is the one that the key is tied to; 0 if an earlier version wrote it.
+	Lease uint64 `json:"lease,omitempty"`
 }
 
 // Term is one time of leadership.
@@ -59,16 +62,19 @@
 	heard    atomic.Int64  // of the term, from the state service, at base+heard
 	promised promise       // to another node
 	token    atomic.Uint64 // of the term that this node holds, as raised since
+	last     Holder        // the last one read, owned by Run
 
 	// AllPromise asks all other nodes for a promise; nil means that there are
 	// none to be had.
 	AllPromise func(ctx context.Context, token uint64) bool
+	// Lost is told what shows that the state service has lost keys of the term.
+	Lost func(loss.Loss)
 }
 
 // NewKeeper makes a keeper for a node.
 func NewKeeper(node string, store *state.Client, timing Timing) *Keeper {
 	now := time.Now()
-	k := &Keeper{node: node, life: rand.Text(), store: store, timing: timing, base: now}
+	k := &Keeper{node: node, life: rand.Text(), store: store, timing: timing, base: now, Lost: func(loss.Loss) {}}
 	// An earlier life of this node may have promised something just before
 	// its end. Nobody remembers, so that this one waits it out.
 	k.promised.until = now.Add(timing.Lease)
@@ -94,7 +100,10 @@
 // Raised notes that the holder has raised the token within its term. Questions
 // for promises carry the newest: by an older one, the others would take the
 // holder for one that has been succeeded.
-func (k *Keeper) Raised(token uint64) { k.token.Store(token) }
+func (k *Keeper) Raised(token uint64) {
+	k.token.Store(token)
+	k.promised.know(token)
+}
 
 // Leader names the node that held the term when last seen, or is empty. What was
 // seen too long ago is not told: a node that is cut off would send workers to
