Term: the test of a lost holder key loses it between two looks at the key

Now each of the three guards, taken out, fails a test (lease of the last holder ended: TestHolderKeyLost; token floor: TestAllTermKeysLost; own key: TestTermPutBack).

--- a/internal/term/loss_test.go
+++ b/internal/term/loss_test.go
@@ -44,7 +44,7 @@
 		time.Sleep(time.Second)
 		second, secondTerms, stopSecond := keep(t, world, "perch-1", nil)
 		first.Lost, second.Lost = seen.add, seen.add
-		time.Sleep(5 * time.Second)
+		time.Sleep(5300 * time.Millisecond) // between two looks of the holder at its key
 		if !first.Valid() || second.Valid() {
 			t.Fatal("the first one should lead")
 		}
