Jobs: a node notices records that are lost, and answers from what it knows

A record that the state service lost was a 404, and a job that was over was accepted anew when it was submitted again. Now each node's cache notices removed, missing and older records and a service that was put back; what it knows stays answered, what nobody knows is 503 with Retry-After while records may be missing, and cancellations of a lost job are written in its place. Costs nothing where nothing is lost but a count at each listing. Tests: internal/jobs/lost_test.go, 5 times with -race.

--- a/internal/jobs/api.go
+++ b/internal/jobs/api.go
@@ -97,16 +97,27 @@
 	refuse(w, http.StatusServiceUnavailable, why)
 }
 
+// read reads a job's record, and its revision. Where the state service has lost it, or
+// says less than this node knows, what is known takes its place.
 func (a *API) read(ctx context.Context, id string) (*Record, uint64, error) {
 	p, found, err := a.Store.Get(ctx, RecordKey(id))
-	if err != nil || !found {
+	if err != nil {
 		return nil, 0, err
 	}
+	if !found {
+		if known, ok := a.Cache.Missing(id); ok {
+			return &known, 0, nil
+		}
+		return nil, 0, nil
+	}
 	var rec Record
 	if err := jsonv2.Unmarshal(p.Value, &rec); err != nil {
 		return nil, 0, err
 	}
 	a.Cache.set(p.Key, p.Value, p.Revision) // before anybody is told
+	if known, _ := a.Cache.Known(id); known.Over() {
+		rec.State = known.State
+	}
 	return &rec, p.Revision, nil
 }
 
@@ -159,28 +170,44 @@
 		return
 	}
 	a.retry(ctx, w, func() (bool, error) {
-		_, failed, err := a.Store.Commit(ctx, []state.Guard{{Key: RecordKey(spec.ID)}},
-			[]state.Write{{Set: RecordKey(spec.ID), Value: value}})
-		if err != nil {
-			return false, err
-		}
-		if len(failed) == 0 {
-			slog.Debug("job accepted", "job", spec.ID, "class", spec.Class, "tasks", spec.Tasks)
-			reply(w, http.StatusCreated, view{ID: spec.ID, State: Queued})
-			return true, nil
-		}
-		known, _, err := a.read(ctx, spec.ID)
-		if err != nil {
-			return false, err
+		if _, known := a.Cache.Known(spec.ID); !known {
+			_, failed, err := a.Store.Commit(ctx, []state.Guard{{Key: RecordKey(spec.ID)}},
+				[]state.Write{{Set: RecordKey(spec.ID), Value: value}})
+			if err != nil {
+				return false, err
+			}
+			if len(failed) == 0 {
+				slog.Debug("job accepted", "job", spec.ID, "class", spec.Class, "tasks", spec.Tasks)
+				reply(w, http.StatusCreated, view{ID: spec.ID, State: Queued})
+				return true, nil
+			}
 		}
-		if known == nil {
-			return false, nil
-		}
-		reply(w, http.StatusOK, view{ID: spec.ID, State: a.shownState(spec.ID, known)})
-		return true, nil
+		return a.submittedAgain(ctx, w, spec)
 	})
 }
 
+// submittedAgain answers the submission of a job that is known already. Where its
+// description was lost, this brings it back.
+func (a *API) submittedAgain(ctx context.Context, w http.ResponseWriter, spec *Spec) (answered bool, err error) {
+	known, revision, err := a.read(ctx, spec.ID)
+	if err != nil || known == nil {
+		return false, err
+	}
+	if known.Held != nil && known.Held.Spec == nil {
+		value := known.described(spec)
+		if len(value) <= a.Derived.ValueBytes {
+			_, failed, err := a.Store.Commit(ctx, []state.Guard{{Key: RecordKey(spec.ID), Revision: revision}},
+				[]state.Write{{Set: RecordKey(spec.ID), Value: value}})
+			if err != nil || len(failed) > 0 {
+				return false, err
+			}
+			slog.Info("description of a lost job submitted again", "job", spec.ID, "held", !known.Held.Complete)
+		}
+	}
+	reply(w, http.StatusOK, view{ID: spec.ID, State: a.shownState(spec.ID, known)})
+	return true, nil
+}
+
 // ifNew answers a submission of a known job with its state; what is done about a new one
 // is for the caller.
 func (a *API) ifNew(ctx context.Context, w http.ResponseWriter, id string, refuse func()) {
@@ -190,6 +217,8 @@
 		a.later(w, "state service does not answer")
 	case rec != nil:
 		reply(w, http.StatusOK, view{ID: id, State: a.shownState(id, rec)})
+	case a.Cache.Suspected():
+		a.later(w, "records may be missing")
 	default:
 		refuse()
 	}
@@ -222,6 +251,8 @@
 	}
 	rec, found, err := a.Cache.Get(ctx, id)
 	switch {
+	case errors.Is(err, ErrUncertain):
+		a.showUncertain(w, id)
 	case err != nil:
 		a.later(w, "state service does not answer")
 	case !found:
@@ -237,6 +268,18 @@
 	}
 }
 
+// showUncertain answers a poll for a job that is not known, while records may be missing.
+// Of a job without a record the leader may know by its tasks.
+func (a *API) showUncertain(w http.ResponseWriter, id string) {
+	if a.Counts != nil {
+		if c, ok := a.Counts(id); ok && c.Running > 0 {
+			reply(w, http.StatusOK, view{ID: id, State: Running, Done: &c.Done, Running: &c.Running})
+			return
+		}
+	}
+	a.later(w, "records may be missing")
+}
+
 func (a *API) withdraw(ctx context.Context, w http.ResponseWriter, r *http.Request) {
 	id := r.PathValue("id")
 	if !ValidID(id) {
@@ -248,6 +291,9 @@
 		switch {
 		case err != nil:
 			return false, err
+		case rec == nil && a.Cache.Suspected():
+			a.later(w, "records may be missing")
+			return true, nil
 		case rec == nil:
 			refuse(w, http.StatusNotFound, "no such job")
 			return true, nil
--- a/internal/jobs/brief.go
+++ b/internal/jobs/brief.go
@@ -1,6 +1,9 @@
 package jobs
 
-import "strings"
+import (
+	"fmt"
+	"strings"
+)
 
 // brief is what a poll needs of a job's record.
 type brief struct {
@@ -95,3 +98,64 @@
 	}
 	t.other[strings.Clone(id)] = b
 }
+
+// size is how many jobs there are.
+func (t *briefTable) size() int { return len(t.packed) + len(t.other) }
+
+// forgetRevisions takes in that all revisions above one are of the past: the state service
+// was put back, and gives them out again.
+func (t *briefTable) forgetRevisions(above uint64) {
+	for key, word := range t.packed {
+		if b := unpack(word); b.revision > above {
+			b.revision = 0
+			t.packed[key], _ = b.pack()
+		}
+	}
+	for id, b := range t.other {
+		if b.revision > above {
+			b.revision = 0
+			t.other[id] = b
+		}
+	}
+}
+
+// idSet is some of a table's jobs, in as little room.
+type idSet struct {
+	packed map[uint64]struct{}
+	other  map[string]struct{}
+}
+
+// ids returns the set of all jobs of a table.
+func (t *briefTable) ids() *idSet {
+	s := &idSet{packed: make(map[uint64]struct{}, len(t.packed)), other: make(map[string]struct{}, len(t.other))}
+	for key := range t.packed {
+		s.packed[key] = struct{}{}
+	}
+	for id := range t.other {
+		s.other[id] = struct{}{}
+	}
+	return s
+}
+
+func (s *idSet) remove(id string) {
+	if key, ok := packID(id); ok {
+		delete(s.packed, key)
+	}
+	delete(s.other, id)
+}
+
+// each hands over the ids that are left.
+func (s *idSet) each(take func(id string)) {
+	for key := range s.packed {
+		take(unpackID(key))
+	}
+	for id := range s.other {
+		take(id)
+	}
+}
+
+// unpackID is the id of a word that packID made.
+func unpackID(key uint64) string {
+	length := int(key & (1<<lengthBits - 1))
+	return fmt.Sprintf("%s%0*d", idPrefix, length, key>>lengthBits)
+}
--- a/internal/jobs/cache.go
+++ b/internal/jobs/cache.go
@@ -12,6 +12,7 @@
 
 	jsonv2 "github.com/go-json-experiment/json"
 
+	"ospreyslip/internal/loss"
 	"ospreyslip/internal/state"
 )
 
@@ -25,6 +26,10 @@
 	gap   time.Duration // least time between two reads
 	idle  time.Duration // the cache is kept up to date without polls, too
 	asks  chan chan error
+	// doubtFor is how long one piece of evidence makes what is not known uncertain.
+	doubtFor time.Duration
+	// OnLoss is told what shows that records are lost.
+	OnLoss func(loss.Loss)
 
 	mu      sync.RWMutex
 	jobs    briefTable
@@ -32,15 +37,21 @@
 	recent  []Cancellation // in the order in which this node learnt of them
 	keep    int            // so many of them, at least
 	dropped uint64         // up to this revision some may be missing
+	losses  losses
 	// Owned by Run.
 	whole    bool
 	revision uint64
+	newest   loss.Highest // revision that was read
 }
 
 // NewCache makes an empty cache; Run fills it. It remembers the last keep
-// cancellations in order.
-func NewCache(store *state.Client, gap, idle time.Duration, keep int) *Cache {
-	return &Cache{store: store, gap: gap, idle: idle, keep: keep, asks: make(chan chan error), jobs: newBriefTable()}
+// cancellations in order, and takes records for uncertain for a time after each
+// evidence of a loss.
+func NewCache(store *state.Client, gap, idle, doubtFor time.Duration, keep int) *Cache {
+	return &Cache{
+		store: store, gap: gap, idle: idle, doubtFor: doubtFor, keep: keep,
+		asks: make(chan chan error), jobs: newBriefTable(), losses: newLosses(),
+	}
 }
 
 // Cancellations returns all cancellations after a revision that this node may have
@@ -59,7 +70,7 @@
 }
 
 // Get returns a job as of a moment after the call. Found is false for one that
-// was not accepted by then.
+// was not accepted by then; it is ErrUncertain where that cannot be told.
 func (m *Cache) Get(ctx context.Context, id string) (rec Record, found bool, err error) {
 	fresh := make(chan error, 1)
 	select {
@@ -75,10 +86,11 @@
 	case <-ctx.Done():
 		return Record{}, false, ctx.Err()
 	}
-	m.mu.RLock()
-	defer m.mu.RUnlock()
-	b, found := m.jobs.get(id)
-	return Record{State: b.state, Tasks: b.tasks}, found, nil
+	rec, found = m.Known(id)
+	if !found && m.Suspected() {
+		return Record{}, false, ErrUncertain
+	}
+	return rec, found, nil
 }
 
 // Run reads for those who ask until the context ends. Who asks while a read is
@@ -130,6 +142,9 @@
 		if err != nil {
 			return err
 		}
+		if m.checkRevision(least); !m.whole {
+			return m.list(ctx)
+		}
 		for range readTries {
 			revision, changes, err := m.store.Watch(ctx, RecordPrefix, m.revision, 0)
 			if errors.Is(err, state.ErrCompacted) {
@@ -142,6 +157,8 @@
 			for _, c := range changes {
 				if c.Set != "" {
 					m.set(c.Set, c.Value, c.Revision)
+				} else {
+					m.Removed(c.Remove, c.Revision)
 				}
 			}
 			m.revision = max(m.revision, revision)
@@ -160,12 +177,28 @@
 }
 
 // list reads all records. They are never removed, so that what is known of them
-// is only added to.
+// is only added to: if more are known afterwards than were read, some may be missing.
 func (m *Cache) list(ctx context.Context) error {
-	revision, err := m.store.Each(ctx, RecordPrefix, func(p state.Pair) { m.set(p.Key, p.Value, p.Revision) })
+	if !m.listed {
+		if err := m.readStatus(ctx); err != nil {
+			return err
+		}
+	}
+	all, revision, err := m.readAll(ctx, 0, func(string) {})
 	if err != nil {
 		return err
 	}
+	if m.checkRevision(revision) {
+		return m.list(ctx)
+	}
+	m.mu.Lock()
+	known := m.jobs.size() - m.losses.missing
+	m.mu.Unlock()
+	if known > all.read {
+		if err := m.findMissing(ctx, 0); err != nil {
+			return err
+		}
+	}
 	m.whole, m.revision = true, revision
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -190,17 +223,34 @@
 			b.state = s // one copy of the text for all jobs
 		}
 	}
+	if evidence := m.take(IDOf(key), b); evidence != "" {
+		slog.Error("record says less than is known", "key", key, "reason", string(evidence))
+		m.tell(loss.Loss{Kind: evidence, Key: key, Found: revision})
+	}
+}
+
+// take takes in what a record says, and tells what shows that it is not the newest.
+func (m *Cache) take(id string, found brief) (evidence loss.Kind) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	id := IDOf(key)
 	old, _ := m.jobs.get(id)
-	if old.revision > revision {
-		return
+	if old.revision > found.revision {
+		return ""
+	}
+	now, evidence := merge(old, found)
+	m.jobs.set(id, now)
+	if evidence != "" {
+		was := m.note(Lost{ID: id, State: now.state, Tasks: now.tasks, Revision: now.revision, Found: found.state})
+		if was.Found == found.state {
+			return "" // told before
+		}
+		return evidence
 	}
-	m.jobs.set(id, b)
-	if b.state == Cancelled && old.revision < revision {
-		m.remember(Cancellation{id, revision})
+	m.unnote(id)
+	if now.state == Cancelled && old.revision < now.revision {
+		m.remember(Cancellation{id, now.revision})
 	}
+	return ""
 }
 
 func (m *Cache) remember(c Cancellation) {
--- a/internal/jobs/cache_order_test.go
+++ b/internal/jobs/cache_order_test.go
@@ -11,7 +11,7 @@
 // After the cache has read all records, the watch brings changes once more that
 // the list was ahead of. A poll that is answered meanwhile must not see them.
 func TestCacheNeverTurnsBack(t *testing.T) {
-	m := NewCache(nil, time.Second, time.Second, 8)
+	m := NewCache(nil, time.Second, time.Second, time.Second, 8)
 	m.set("job/j-1", []byte(`{"stance":"done","tasks":3}`), 105)   // from the list
 	m.set("job/j-1", []byte(`{"stance":"queued","tasks":3}`), 102) // from the watch, on the way to 105
 	if got, _ := m.jobs.get("j-1"); got.state != Done {
@@ -26,7 +26,7 @@
 
 // Who no longer remembers all cancellations since a revision says so.
 func TestCancellationsRemembered(t *testing.T) {
-	m := NewCache(nil, time.Second, time.Second, 4)
+	m := NewCache(nil, time.Second, time.Second, time.Second, 4)
 	cancel := func(n uint64) { m.set(RecordKey(fmt.Sprintf("j-%d", n)), []byte(`{"stance":"aborted"}`), n) }
 	if _, complete := m.Cancellations(0); complete {
 		t.Error("complete before the records were read")
@@ -62,7 +62,7 @@
 		runtime.ReadMemStats(&m)
 		return m.HeapAlloc
 	}
-	m := NewCache(nil, time.Second, time.Second, 100)
+	m := NewCache(nil, time.Second, time.Second, time.Second, 100)
 	before := heap()
 	for n := range many {
 		m.set(strings.Clone(RecordKey(fmt.Sprintf("j-%06d", n))), []byte(`{"stance":"done","tasks":30}`), uint64(n))
--- /dev/null
+++ b/internal/jobs/lost.go
@@ -0,0 +1,352 @@
+package jobs
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"time"
+
+	"github.com/google/btree"
+
+	"ospreyslip/internal/loss"
+	"ospreyslip/internal/state"
+)
+
+// ErrUncertain means that a job is not known, but that records may be missing: it may
+// have been accepted all the same.
+var ErrUncertain = errors.New("records may be missing")
+
+// RecoveryStatusKey is there while a leader compares what the state service has with what
+// others know. A node that starts meanwhile did not see what was lost.
+const RecoveryStatusKey = "recovery/status"
+
+// Lost is a job of which this node knows more than the state service.
+type Lost struct {
+	ID       string
+	State    string // as this node knows it: more is known than the record says, or there is none
+	Tasks    int
+	Revision uint64 // of the record as it stands; 0 if there is none
+	Found    string // the state that the record tells; empty if there is none
+}
+
+// losses is what a cache knows beyond the records. It is guarded by the cache's lock.
+type losses struct {
+	jobs         *btree.BTreeG[Lost] // by id
+	suspectUntil time.Time
+	compared     bool // this node began while records were being compared: it saw none of what was lost
+	missing      int  // of the jobs, those without a record
+}
+
+// lossDegree is the width of the tree's nodes.
+const lossDegree = 16
+
+func newLosses() losses {
+	return losses{jobs: btree.NewG(lossDegree, func(a, b Lost) bool { return a.ID < b.ID })}
+}
+
+// Known returns what this node knows of a job, however old, without a read.
+func (m *Cache) Known(id string) (rec Record, found bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	b, found := m.jobs.get(id)
+	return Record{State: b.state, Tasks: b.tasks}, found
+}
+
+// Lost returns jobs of which this node knows more than the state service, in the order of
+// their ids after one, and whether there are more.
+func (m *Cache) Lost(after string, most int) (page []Lost, more bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	m.losses.jobs.AscendGreaterOrEqual(Lost{ID: after}, func(l Lost) bool {
+		if l.ID == after {
+			return true
+		}
+		if len(page) == most {
+			more = true
+			return false
+		}
+		page = append(page, l)
+		return true
+	})
+	return page, more
+}
+
+// LostJobs returns how many jobs this node knows more of than the state service.
+func (m *Cache) LostJobs() int {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.losses.jobs.Len()
+}
+
+// SawAll tells whether this node has read all records, and did so before any loss that it
+// knows of: then a job that it does not know was not accepted before.
+func (m *Cache) SawAll() bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.listed && !m.losses.compared
+}
+
+// Suspect notes that records may be missing, until a moment: what is not known may have
+// been accepted.
+func (m *Cache) Suspect(until time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if until.After(m.losses.suspectUntil) {
+		m.losses.suspectUntil = until
+	}
+}
+
+// Compared notes that all have been compared: what nobody knows was never accepted.
+func (m *Cache) Compared() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.losses.suspectUntil = time.Time{}
+	m.losses.compared = false
+}
+
+// Suspected tells whether records may be missing.
+func (m *Cache) Suspected() bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.losses.compared || time.Now().Before(m.losses.suspectUntil)
+}
+
+// tell hands on evidence. No lock may be held.
+func (m *Cache) tell(l loss.Loss) {
+	m.Suspect(time.Now().Add(m.doubtFor))
+	if m.OnLoss != nil {
+		m.OnLoss(l)
+	}
+}
+
+// Missing takes in that a read did not find a job's record. It tells what this node knows
+// of the job.
+func (m *Cache) Missing(id string) (rec Record, known bool) {
+	m.mu.Lock()
+	b, known := m.jobs.get(id)
+	first := known && m.miss(id, b)
+	m.mu.Unlock()
+	if first {
+		m.tell(loss.Loss{Kind: loss.RecordMissing, Key: RecordKey(id), Known: b.revision})
+	}
+	return Record{State: b.state, Tasks: b.tasks}, known
+}
+
+// miss notes that a job has no record, and whether that is news. The lock is held.
+func (m *Cache) miss(id string, b brief) (news bool) {
+	old, had := m.losses.jobs.Get(Lost{ID: id})
+	m.note(Lost{ID: id, State: b.state, Tasks: b.tasks})
+	b.revision = 0
+	m.jobs.set(id, b)
+	return !had || old.Found != ""
+}
+
+// note takes in a job that is lost. The lock is held.
+func (m *Cache) note(l Lost) (was Lost) {
+	was = m.unnote(l.ID)
+	m.losses.jobs.ReplaceOrInsert(l)
+	if l.Found == "" {
+		m.losses.missing++
+	}
+	return was
+}
+
+// unnote takes in that a job is not lost any more. The lock is held.
+func (m *Cache) unnote(id string) (was Lost) {
+	if m.losses.jobs.Len() == 0 {
+		return Lost{}
+	}
+	was, had := m.losses.jobs.Delete(Lost{ID: id})
+	if had && was.Found == "" {
+		m.losses.missing--
+	}
+	return was
+}
+
+// Removed takes in that a watch shows the removal of a record, which no version of ours
+// ever removes.
+func (m *Cache) Removed(key string, revision uint64) {
+	id := IDOf(key)
+	m.mu.Lock()
+	b, known := m.jobs.get(id)
+	news := !known || b.revision <= revision && m.miss(id, b)
+	m.mu.Unlock()
+	if news {
+		m.tell(loss.Loss{Kind: loss.RecordRemoved, Key: key, Known: b.revision, Found: revision})
+	}
+}
+
+// merge decides what a record says that differs from what is known. Knowledge only grows:
+// a job that is over stays so, in the way that users were told.
+func merge(known brief, found brief) (now brief, evidence loss.Kind) {
+	over := known.state == Done || known.state == Cancelled
+	switch {
+	case !over || known.state == found.state:
+		return found, ""
+	case found.state == Done || found.state == Cancelled:
+		return brief{known.state, known.tasks, found.revision}, loss.RecordContradicts
+	}
+	return brief{known.state, known.tasks, found.revision}, loss.RecordOlder
+}
+
+// checkRevision takes in a revision that was just read. One below those before shows that
+// the service was put back: revisions are given out again, and all is read anew.
+func (m *Cache) checkRevision(found uint64) (back bool) {
+	l, back := m.newest.See(loss.RevisionBack, "", found)
+	if !back {
+		return false
+	}
+	slog.Error("state service put back", "known", l.Known, "found", l.Found)
+	m.newest.Reset(found)
+	m.whole = false
+	m.mu.Lock()
+	m.jobs.forgetRevisions(found)
+	m.mu.Unlock()
+	m.tell(l)
+	return true
+}
+
+// listing is one reading of all records.
+type listing struct {
+	read  int
+	older []state.Pair // records of an older revision than is known
+}
+
+// readAll reads all records once. A record is older than known if that was learnt while
+// its page was on the way, or if the service was put back: only what was known before the
+// reading began proves the latter.
+func (m *Cache) readAll(ctx context.Context, pause time.Duration, each func(id string)) (l listing, revision uint64, err error) {
+	revision, err = m.store.EachPaced(ctx, RecordPrefix, pause, func(p state.Pair) {
+		l.read++
+		id := IDOf(p.Key)
+		each(id)
+		if m.knownRevision(id) > p.Revision {
+			l.older = append(l.older, p)
+			return
+		}
+		m.set(p.Key, p.Value, p.Revision)
+	})
+	if err != nil {
+		return l, 0, err
+	}
+	for _, p := range l.older {
+		if m.knownRevision(IDOf(p.Key)) <= revision {
+			m.forgetRevision(IDOf(p.Key))
+			m.tell(loss.Loss{Kind: loss.RecordOlder, Key: p.Key, Found: p.Revision})
+			m.set(p.Key, p.Value, p.Revision)
+		}
+	}
+	return l, revision, nil
+}
+
+func (m *Cache) knownRevision(id string) uint64 {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	b, _ := m.jobs.get(id)
+	return b.revision
+}
+
+func (m *Cache) forgetRevision(id string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	b, _ := m.jobs.get(id)
+	b.revision = 0
+	m.jobs.set(id, b)
+}
+
+// findMissing reads all records once more and notes each job that is known and not among
+// them. It pauses between two pages. Jobs accepted since it began prove nothing.
+func (m *Cache) findMissing(ctx context.Context, pause time.Duration) error {
+	m.mu.RLock()
+	left := m.jobs.ids()
+	m.mu.RUnlock()
+	_, revision, err := m.readAll(ctx, pause, left.remove)
+	if err != nil {
+		return err
+	}
+	first, count := loss.Loss{}, 0
+	m.mu.Lock()
+	left.each(func(id string) {
+		b, known := m.jobs.get(id)
+		if known && b.revision <= revision && m.miss(id, b) {
+			first = loss.Loss{Kind: loss.RecordMissing, Key: RecordKey(id), Known: b.revision}
+			count++
+		}
+	})
+	m.mu.Unlock()
+	if count > 0 {
+		slog.Error("records missing", "jobs", count)
+		m.tell(first)
+	}
+	return nil
+}
+
+// Audit compares all records with what this node knows, again and again.
+func (m *Cache) Audit(ctx context.Context, every, pause time.Duration) {
+	for every > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(every):
+		}
+		if !m.SawAll() {
+			continue
+		}
+		if err := m.findMissing(ctx, pause); err != nil {
+			slog.Debug("records not audited", "reason", err)
+		}
+	}
+}
+
+// readStatus finds out whether records are being compared at the moment.
+func (m *Cache) readStatus(ctx context.Context) error {
+	_, found, err := m.store.Get(ctx, RecoveryStatusKey)
+	if err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.losses.compared = found
+	return nil
+}
+
+// Check has the cache read as soon as it may.
+func (m *Cache) Check() {
+	select {
+	case m.asks <- make(chan error, 1):
+	default: // it is reading, or about to
+	}
+}
+
+// Held is a job that is not run, since it is not certain that it should be. It stands in
+// a record in place of the job's description, which earlier versions would act upon.
+type Held struct {
+	Reason string `json:"reason"`
+	Spec   *Spec  `json:"spec,omitempty"`
+	AtMs   int64  `json:"atMs,omitempty"`   // time of day of its acceptance, if known
+	HeldMs int64  `json:"heldMs,omitempty"` // time of day since when it is held
+	// Complete tells that nothing but the description is missing.
+	Complete bool `json:"complete,omitempty"`
+}
+
+// described returns a held record with the description that was missing. If nothing else
+// was, the job is held no more.
+func (r *Record) described(spec *Spec) json.RawMessage {
+	now := Record{State: Queued, Tasks: spec.Tasks}
+	if r.Held.Complete {
+		now.Spec, now.AtMs = spec, r.Held.AtMs
+	} else {
+		held := *r.Held
+		held.Spec = spec
+		now.Held = &held
+	}
+	raw, _ := json.Marshal(now)
+	return raw
+}
+
+// HeldRecord is the record of a job that is held.
+func HeldRecord(tasks int, h Held) json.RawMessage {
+	raw, _ := json.Marshal(Record{State: Queued, Tasks: tasks, Held: &h})
+	return raw
+}
--- /dev/null
+++ b/internal/jobs/lost_test.go
@@ -0,0 +1,240 @@
+package jobs_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"ospreyslip/internal/jobs"
+	"ospreyslip/internal/loss"
+	"ospreyslip/internal/standin"
+)
+
+// evidence collects what a cache tells of losses.
+type evidence struct {
+	mu    sync.Mutex
+	kinds map[loss.Kind]int
+}
+
+func (c *cached) evidence() *evidence {
+	e := &evidence{kinds: map[loss.Kind]int{}}
+	c.m.OnLoss = func(l loss.Loss) {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.kinds[l.Kind]++
+	}
+	return e
+}
+
+func (e *evidence) count(kind loss.Kind) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.kinds[kind]
+}
+
+func (e *evidence) none(t *testing.T, when string) {
+	t.Helper()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.kinds) > 0 {
+		t.Errorf("%s: taken for a loss: %v", when, e.kinds)
+	}
+}
+
+func (c *cached) wantLost(when string, want ...string) {
+	c.t.Helper()
+	page, _ := c.m.Lost("", 100)
+	var got []string
+	for _, l := range page {
+		got = append(got, l.ID+" "+l.State)
+	}
+	if fmt.Sprint(got) != fmt.Sprint(want) {
+		c.t.Errorf("%s: lost %v, want %v", when, got, want)
+	}
+}
+
+// fill makes a job of each state, and has the cache learn them.
+func (c *cached) fill() {
+	c.t.Helper()
+	for _, id := range []string{"j-1", "j-2", "j-3"} {
+		c.write(id, jobs.Queued)
+	}
+	c.write("j-2", jobs.Done)
+	c.write("j-3", jobs.Cancelled)
+	c.want("j-3", jobs.Cancelled, "to begin with")
+}
+
+// What does not come up to a loss is not taken for one: lagging watches, changes that are
+// no longer kept, refusals and outages, and a listing that others write amidst.
+func TestNoLossIsSeenWhereThereIsNone(t *testing.T) {
+	withCache(t, func(c *cached) {
+		seen := c.evidence()
+		c.fill()
+		c.store.Lag(2)
+		c.write("j-4", jobs.Queued)
+		c.want("j-1", "503", "the watch lags")
+		c.store.Lag(0)
+		c.store.Keep(2)
+		for i := range 20 {
+			c.write(fmt.Sprintf("j-1%d", i), jobs.Queued)
+		}
+		c.want("j-119", jobs.Queued, "read anew")
+		c.store.RefuseFrom("perch-0", true)
+		c.want("j-1", "503", "refused")
+		c.store.RefuseFrom("perch-0", false)
+		c.store.Down(true)
+		c.want("j-1", "503", "an outage")
+		c.store.Down(false)
+		c.want("j-1", jobs.Queued, "after it")
+		c.want("j-99", "404", "never submitted")
+		seen.none(c.t, "an ordinary day")
+		c.wantLost("an ordinary day")
+	})
+}
+
+// A removed record is seen by the watch. The job is answered as known, what nobody knows
+// is uncertain, and all is as before when the record is back.
+func TestRemovedRecord(t *testing.T) {
+	withCache(t, func(c *cached) {
+		seen := c.evidence()
+		c.fill()
+		c.store.Lose(false, standin.Only("job/j-2"))
+		c.want("j-2", jobs.Done, "its record is lost")
+		c.want("j-99", "503", "it may have been lost before this node knew of it")
+		c.wantLost("one removed", "j-2 done")
+		if seen.count(loss.RecordRemoved) != 1 {
+			t.Errorf("evidence: %v", seen.kinds)
+		}
+		c.write("j-2", jobs.Done)
+		c.want("j-2", jobs.Done, "written back")
+		c.wantLost("written back")
+		c.m.Compared()
+		c.want("j-99", "404", "all has been compared")
+	})
+}
+
+// A record that goes without a trace is missed at the next listing, whatever makes the
+// cache list: here, that the changes in between are no longer kept.
+func TestRecordMissingFromAListing(t *testing.T) {
+	withCache(t, func(c *cached) {
+		seen := c.evidence()
+		c.fill()
+		c.store.Lose(true, standin.Only("job/j-1"))
+		c.want("j-1", jobs.Queued, "lost without a trace")
+		seen.none(t, "not to be noticed yet")
+		c.store.Keep(2)
+		for i := range 20 {
+			c.write(fmt.Sprintf("j-1%d", i), jobs.Queued)
+		}
+		c.want("j-1", jobs.Queued, "listed")
+		c.wantLost("listed", "j-1 queued")
+		if seen.count(loss.RecordMissing) != 1 {
+			t.Errorf("evidence: %v", seen.kinds)
+		}
+	})
+}
+
+// An audit finds it without any other cause.
+func TestAuditFindsWhatIsMissing(t *testing.T) {
+	withCache(t, func(c *cached) {
+		c.fill()
+		ctx, stop := context.WithTimeout(c.t.Context(), 90*time.Second)
+		defer stop()
+		var audits sync.WaitGroup
+		audits.Go(func() { c.m.Audit(ctx, time.Minute, 10*time.Millisecond) })
+		c.store.Lose(true, standin.Only("job/j-3"))
+		time.Sleep(70 * time.Second)
+		c.wantLost("audited", "j-3 aborted")
+		audits.Wait()
+	})
+}
+
+// A service that is put back to an older revision has lost what came since, and says
+// less of the rest: what is over stays over.
+func TestServicePutBack(t *testing.T) {
+	withCache(t, func(c *cached) {
+		seen := c.evidence()
+		c.write("j-1", jobs.Queued)
+		c.write("j-2", jobs.Queued)
+		before := c.store.Backup()
+		c.write("j-2", jobs.Done)
+		c.write("j-3", jobs.Queued)
+		c.write("j-3", jobs.Cancelled)
+		c.want("j-3", jobs.Cancelled, "before")
+		c.store.Restore(before)
+		c.want("j-2", jobs.Done, "its record says queued again")
+		c.want("j-3", jobs.Cancelled, "its record is gone")
+		c.want("j-1", jobs.Queued, "untouched")
+		c.wantLost("put back", "j-2 done", "j-3 aborted")
+		if seen.count(loss.RevisionBack) != 1 || seen.count(loss.RecordOlder) != 1 {
+			t.Errorf("evidence: %v", seen.kinds)
+		}
+		// Revisions that were known before the loss are given out again.
+		for i := range 10 {
+			c.write(fmt.Sprintf("j-1%d", i), jobs.Queued)
+			c.want(fmt.Sprintf("j-1%d", i), jobs.Queued, "accepted since")
+		}
+		c.write("j-1", jobs.Done)
+		c.want("j-1", jobs.Done, "under a revision that was another's before")
+		c.wantLost("later", "j-2 done", "j-3 aborted")
+	})
+}
+
+// All records are gone: everything is answered as known.
+func TestEverythingLost(t *testing.T) {
+	for _, silently := range []bool{false, true} {
+		withCache(t, func(c *cached) {
+			c.fill()
+			c.store.Lose(silently, standin.WithPrefix(""))
+			if silently {
+				c.store.Keep(1) // a new service: it keeps no earlier changes
+				c.write("j-8", jobs.Queued)
+				c.write("j-9", jobs.Queued)
+			}
+			c.want("j-1", jobs.Queued, "lost")
+			c.want("j-2", jobs.Done, "lost")
+			c.want("j-3", jobs.Cancelled, "lost")
+			c.wantLost("all", "j-1 queued", "j-2 done", "j-3 aborted")
+		})
+	}
+}
+
+// A record that ends otherwise than users were told is a contradiction, not an answer.
+func TestContradictingRecord(t *testing.T) {
+	withCache(t, func(c *cached) {
+		seen := c.evidence()
+		c.fill()
+		c.write("j-2", jobs.Cancelled)
+		c.want("j-2", jobs.Done, "as users were told")
+		if seen.count(loss.RecordContradicts) != 1 {
+			t.Errorf("evidence: %v", seen.kinds)
+		}
+		c.wantLost("contradicted", "j-2 done")
+	})
+}
+
+// Pages of lost jobs go through all of them, in order and once.
+func TestPagesOfLostJobs(t *testing.T) {
+	withCache(t, func(c *cached) {
+		for i := range 25 {
+			c.write(fmt.Sprintf("j-%03d", i), jobs.Queued)
+		}
+		c.want("j-024", jobs.Queued, "to begin with")
+		c.store.Lose(false, standin.WithPrefix("job/j-0"))
+		c.want("j-001", jobs.Queued, "lost")
+		after, pages, all := "", 0, []string{}
+		for more := true; more; pages++ {
+			var page []jobs.Lost
+			page, more = c.m.Lost(after, 10)
+			for _, l := range page {
+				all = append(all, l.ID)
+				after = l.ID
+			}
+		}
+		if len(all) != 25 || pages != 3 || all[0] != "j-000" || all[24] != "j-024" {
+			t.Errorf("%d pages: %v", pages, all)
+		}
+	})
+}
--- a/internal/jobs/record.go
+++ b/internal/jobs/record.go
@@ -25,6 +25,7 @@
 	Tasks int    `json:"tasks"`
 	Spec  *Spec  `json:"spec,omitempty"`
 	AtMs  int64  `json:"atMs,omitempty"` // time of day of its acceptance
+	Held  *Held  `json:"held,omitempty"` // instead of Spec, while the job is not to run
 }
 
 // Over tells whether the record can change no more.
@@ -36,16 +37,25 @@
 func (r *Record) Ended(to string, most int) json.RawMessage {
 	end := Record{State: to, Tasks: r.Tasks}
 	if to == Cancelled {
-		end.Spec = r.Spec
+		end.Spec = r.description()
 	}
 	raw, _ := json.Marshal(end)
-	if s := r.Spec; len(raw) > most && end.Spec != nil {
+	if s := end.Spec; len(raw) > most && end.Spec != nil {
 		end.Spec = &Spec{ID: s.ID, Team: s.Team, Shape: s.Shape, Priority: s.Priority, Tasks: s.Tasks, CPUs: s.CPUs, GPUs: s.GPUs, RAMGB: s.RAMGB}
 		raw, _ = json.Marshal(end)
 	}
 	return raw
 }
 
+// description returns the job's description, also of one that is held; nil if it is not
+// known.
+func (r *Record) description() *Spec {
+	if r.Spec == nil && r.Held != nil {
+		return r.Held.Spec
+	}
+	return r.Spec
+}
+
 // RecordKey is the key of a job's record.
 func RecordKey(id string) string { return RecordPrefix + id }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -87,7 +87,7 @@
 	n := &Node{set: set, d: d, listenForUsers: users, listenForPeers: cluster, born: time.Now(), counts: control.NewCounts(), gate: &control.Gate{}}
 	n.workers = workers.NewClient(pick(2, d.WorkerConns, d.CallWait), d.CallWait)
 	n.store = state.New(set.Endpoints.State, pick(d.StateConns, 0, d.StateWait), d.StateWait, n.budget(false))
-	n.cache = jobs.NewCache(n.store, d.PollGap, d.Cancel/4, d.CancelsKept)
+	n.cache = jobs.NewCache(n.store, d.PollGap, d.Cancel/4, d.Cancel, d.CancelsKept)
 	n.keeper = term.NewKeeper(set.Node, n.store, term.Timing{
 		Lease: d.TermLease, Renew: d.TermRenew, Safe: d.TermSafe, WatchWait: d.WatchWait, Retry: d.TermRenew,
 	})
--- a/internal/state/read.go
+++ b/internal/state/read.go
@@ -35,6 +35,11 @@
 // Each is List for keys of which there may be more than fit into memory: it hands over
 // one after the other. After an error, some may have been handed over.
 func (c *Client) Each(ctx context.Context, prefix string, take func(Pair)) (revision uint64, err error) {
+	return c.EachPaced(ctx, prefix, 0, take)
+}
+
+// EachPaced is Each with a pause between two pages, so that others get their turn.
+func (c *Client) EachPaced(ctx context.Context, prefix string, pause time.Duration, take func(Pair)) (revision uint64, err error) {
 	after := ""
 	for {
 		page, err := c.page(ctx, prefix, after)
@@ -51,6 +56,13 @@
 			return revision, nil
 		}
 		after = page.Pairs[len(page.Pairs)-1].Key
+		if pause > 0 {
+			select {
+			case <-ctx.Done():
+				return 0, ctx.Err()
+			case <-time.After(pause):
+			}
+		}
 	}
 }
 
