--- a/internal/jobs/lost.go
+++ b/internal/jobs/lost.go
@@ -335,7 +335,7 @@
 func (r *Record) described(spec *Spec) json.RawMessage {
 	now := Record{State: Queued, Tasks: spec.Tasks}
 	if r.Held.Complete {
-		now.Spec, now.AtMs = spec, r.Held.AtMs
+		now.Spec, now.AtMs, now.Restored = spec, r.Held.AtMs, true
 	} else {
 		held := *r.Held
 		held.Spec = spec
@@ -344,9 +344,3 @@
 	raw, _ := json.Marshal(now)
 	return raw
 }
-
-// HeldRecord is the record of a job that is held.
-func HeldRecord(tasks int, h Held) json.RawMessage {
-	raw, _ := json.Marshal(Record{State: Queued, Tasks: tasks, Held: &h})
-	return raw
-}
--- a/internal/jobs/record.go
+++ b/internal/jobs/record.go
@@ -26,6 +26,9 @@
 	Spec  *Spec  `json:"spec,omitempty"`
 	AtMs  int64  `json:"atMs,omitempty"` // time of day of its acceptance
 	Held  *Held  `json:"held,omitempty"` // instead of Spec, while the job is not to run
+	// Restored tells that the record was lost and written again: tasks of the job may be
+	// on machines without an entry in the assignment log.
+	Restored bool `json:"restored,omitempty"`
 }
 
 // Over tells whether the record can change no more.
