Peers answer what they know beyond the records, in pages

The leader asks other controllers for jobs of which they know more than the state service. Bounded pages; an earlier version does not answer and costs a connection. Messages of before are the same bytes (TestProductionMessages).

--- /dev/null
+++ b/internal/peer/lost.go
@@ -0,0 +1,169 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+
+	flatbuffers "github.com/google/flatbuffers/go"
+
+	"ospreyslip/internal/peer/wire"
+)
+
+// LostJob is a job of which a controller knows more than the state service.
+type LostJob struct {
+	ID     string
+	State  string
+	Tasks  int
+	Record []byte // as JSON, if this node has its description
+}
+
+// LostPage is a part of a controller's lost jobs.
+type LostPage struct {
+	Ready bool // it has compared all records with what it knows
+	More  bool
+	Jobs  []LostJob
+}
+
+type lostAsk struct {
+	number, round uint64
+	after         string
+}
+
+type lostPage struct {
+	number uint64
+	LostPage
+}
+
+// mostLostBytes bounds a page well below what a message may be.
+const mostLostBytes = maxMessage / 4
+
+// ErrNoAnswer means that a controller did not answer, as it is away or of a version that
+// does not know the question.
+var ErrNoAnswer = errors.New("no answer")
+
+// Peers returns the names of all other controllers, in order.
+func (h *Hub) Peers() []string {
+	names := make([]string, 0, len(h.links))
+	for name := range h.links {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// AskLost asks another controller for jobs of which it knows more than the state service,
+// after one, in a round of comparison.
+func (h *Hub) AskLost(ctx context.Context, node string, round uint64, after string) (LostPage, error) {
+	l := h.links[node]
+	if l == nil {
+		return LostPage{}, fmt.Errorf("unknown node %q", node)
+	}
+	reply := make(chan LostPage, 1)
+	h.mu.Lock()
+	h.number++
+	number := h.number
+	h.pages[number] = reply
+	h.mu.Unlock()
+	defer func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		delete(h.pages, number)
+	}()
+	select {
+	case l.out <- encodeLostAsk(h.self, lostAsk{number, round, after}):
+	default:
+		return LostPage{}, ErrNoAnswer
+	}
+	select {
+	case p := <-reply:
+		return p, nil
+	case <-ctx.Done():
+		return LostPage{}, ErrNoAnswer
+	}
+}
+
+// answered hands the answer to a question to who asked it.
+func (h *Hub) answered(m message) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch {
+	case m.promise != nil:
+		if reply := h.waiting[m.promise.number]; reply != nil {
+			delete(h.waiting, m.promise.number)
+			reply <- m.promise.Promise
+		}
+	case m.lostPage != nil:
+		if reply := h.pages[m.lostPage.number]; reply != nil {
+			delete(h.pages, m.lostPage.number)
+			reply <- m.lostPage.LostPage
+		}
+	default:
+		return errors.New("unexpected message")
+	}
+	return nil
+}
+
+func encodeLostAsk(from string, a lostAsk) []byte {
+	b := flatbuffers.NewBuilder(128)
+	after := b.CreateString(a.after)
+	wire.LostAskStart(b)
+	wire.LostAskAddNumber(b, a.number)
+	wire.LostAskAddRound(b, a.round)
+	wire.LostAskAddAfter(b, after)
+	return finish(b, from, wire.BodyLostAsk, wire.LostAskEnd(b))
+}
+
+// encodeLostPage writes a page, or as much of it as one message may hold.
+func encodeLostPage(from string, p lostPage) []byte {
+	b := flatbuffers.NewBuilder(128 + 64*len(p.Jobs))
+	rows := make([]flatbuffers.UOffsetT, 0, len(p.Jobs))
+	for _, j := range p.Jobs {
+		if b.Offset() > mostLostBytes {
+			p.More = true
+			break
+		}
+		rows = append(rows, encodeLostJob(b, j))
+	}
+	wire.LostPageStartJobsVector(b, len(rows))
+	for _, r := range slices.Backward(rows) {
+		b.PrependUOffsetT(r)
+	}
+	vector := b.EndVector(len(rows))
+	wire.LostPageStart(b)
+	wire.LostPageAddNumber(b, p.number)
+	wire.LostPageAddReady(b, p.Ready)
+	wire.LostPageAddMore(b, p.More)
+	wire.LostPageAddJobs(b, vector)
+	return finish(b, from, wire.BodyLostPage, wire.LostPageEnd(b))
+}
+
+func encodeLostJob(b *flatbuffers.Builder, j LostJob) flatbuffers.UOffsetT {
+	id, state := b.CreateString(j.ID), b.CreateString(j.State)
+	record := b.CreateByteVector(j.Record)
+	wire.LostJobStart(b)
+	wire.LostJobAddId(b, id)
+	wire.LostJobAddState(b, state)
+	wire.LostJobAddTasks(b, uint32(max(0, j.Tasks)))
+	wire.LostJobAddRecord(b, record)
+	return wire.LostJobEnd(b)
+}
+
+func decodeLostPage(body flatbuffers.Table, most int) (*lostPage, error) {
+	var p wire.LostPage
+	p.Init(body.Bytes, body.Pos)
+	if p.JobsLength() > most {
+		return nil, errTooManyRows
+	}
+	page := &lostPage{p.Number(), LostPage{Ready: p.Ready(), More: p.More()}}
+	var row wire.LostJob
+	for i := range p.JobsLength() {
+		if p.Jobs(&row, i) {
+			page.Jobs = append(page.Jobs, LostJob{
+				ID: string(row.Id()), State: string(row.State()), Tasks: int(row.Tasks()), Record: slices.Clone(row.RecordBytes()),
+			})
+		}
+	}
+	return page, nil
+}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -17,12 +17,16 @@
 	progress *Progress
 	ask      *ask
 	promise  *promise
+	lostAsk  *lostAsk
+	lostPage *lostPage
 }
 
 // Progress is what a leader publishes.
 type Progress struct {
 	Counts map[string]jobs.Counts
 	Served bool // the state service answers the leader
+	// Uncertain tells that records may be lost, and are being compared.
+	Uncertain bool
 }
 
 type ask struct {
@@ -76,6 +80,7 @@
 	wire.ProgressStart(b)
 	wire.ProgressAddJobs(b, vector)
 	wire.ProgressAddServed(b, p.Served)
+	wire.ProgressAddUncertain(b, p.Uncertain)
 	return finish(b, from, wire.BodyProgress, wire.ProgressEnd(b))
 }
 
@@ -138,9 +143,9 @@
 		// A length is only a number in the message: a broken one must not make
 		// this node set memory aside for it.
 		if p.JobsLength() > len(raw)/flatbuffers.SizeUOffsetT {
-			return m, errors.New("more rows than the message can hold")
+			return m, errTooManyRows
 		}
-		m.progress = &Progress{Counts: make(map[string]jobs.Counts, p.JobsLength()), Served: p.Served()}
+		m.progress = &Progress{Counts: make(map[string]jobs.Counts, p.JobsLength()), Served: p.Served(), Uncertain: p.Uncertain()}
 		var row wire.JobCounts
 		for i := range p.JobsLength() {
 			if p.Jobs(&row, i) {
@@ -155,7 +160,7 @@
 		var p wire.Promise
 		p.Init(body.Bytes, body.Pos)
 		if p.CancellationsLength() > len(raw)/flatbuffers.SizeUOffsetT {
-			return m, errors.New("more rows than the message can hold")
+			return m, errTooManyRows
 		}
 		m.promise = &promise{p.Number(), Promise{Given: p.Given(), Complete: p.Complete()}}
 		var row wire.Cancellation
@@ -164,8 +169,17 @@
 				m.promise.Cancellations = append(m.promise.Cancellations, jobs.Cancellation{Job: string(row.Job()), Revision: row.Revision()})
 			}
 		}
+	case wire.BodyLostAsk:
+		var a wire.LostAsk
+		a.Init(body.Bytes, body.Pos)
+		m.lostAsk = &lostAsk{a.Number(), a.Round(), string(a.After())}
+	case wire.BodyLostPage:
+		m.lostPage, err = decodeLostPage(body, len(raw)/flatbuffers.SizeUOffsetT)
 	default:
 		return m, fmt.Errorf("unknown kind of message %d", in.BodyType())
 	}
-	return m, nil
+	return m, err
 }
+
+// errTooManyRows refuses a broken length before memory is set aside for it.
+var errTooManyRows = errors.New("more rows than the message can hold")
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -6,7 +6,6 @@
 	"bufio"
 	"context"
 	"encoding/binary"
-	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -38,9 +37,14 @@
 	// what it has told users since the asker's picture of the jobs.
 	Promise func(ctx context.Context, from string, token, seen uint64) Promise
 
+	// Lost answers the leader's question for jobs of which this node knows more than the
+	// state service, after one, in a round of comparison.
+	Lost func(round uint64, after string) LostPage
+
 	mu      sync.Mutex
 	number  uint64
 	waiting map[uint64]chan Promise
+	pages   map[uint64]chan LostPage
 }
 
 type link struct {
@@ -50,7 +54,7 @@
 
 // NewHub makes a hub. A connection that has failed is tried again after retry.
 func NewHub(self string, peers []settings.Peer, dial Dial, retry time.Duration) *Hub {
-	h := &Hub{self: self, dial: dial, retry: retry, links: map[string]*link{}, waiting: map[uint64]chan Promise{}}
+	h := &Hub{self: self, dial: dial, retry: retry, links: map[string]*link{}, waiting: map[uint64]chan Promise{}, pages: map[uint64]chan LostPage{}}
 	for _, p := range peers {
 		h.links[p.Node] = &link{addr: p.Addr, out: make(chan []byte, 4)}
 	}
@@ -172,19 +176,7 @@
 	defer cancel()
 	go func() {
 		defer cancel()
-		err := h.read(bufio.NewReader(c), func(m message) error {
-			if m.promise == nil {
-				return errors.New("unexpected message")
-			}
-			h.mu.Lock()
-			reply := h.waiting[m.promise.number]
-			delete(h.waiting, m.promise.number)
-			h.mu.Unlock()
-			if reply != nil {
-				reply <- m.promise.Promise
-			}
-			return nil
-		})
+		err := h.read(bufio.NewReader(c), h.answered)
 		slog.Debug("peer connection ended", "peer", l.addr, "reason", err)
 	}()
 	for {
@@ -211,13 +203,13 @@
 func (c *asHTTP) Read(p []byte) (int, error) { return c.r.Read(p) }
 
 // serve answers on a connection on which another node speaks, or hands it over
-// if it speaks HTTP: as a size, "GET " is far beyond any message.
+// if it speaks HTTP: as a size, "GET " and "POST" are far beyond any message.
 func (h *Hub) serve(ctx context.Context, c net.Conn) {
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	defer stop()
 	r := bufio.NewReader(c)
 	first, err := r.Peek(4)
-	if err == nil && string(first) == "GET " && h.HTTP != nil {
+	if err == nil && (string(first) == "GET " || string(first) == "POST") && h.HTTP != nil {
 		h.HTTP(&asHTTP{c, r})
 		return
 	}
@@ -234,6 +226,11 @@
 			_ = c.SetWriteDeadline(time.Now().Add(4 * h.retry))
 			_, err := c.Write(encodePromise(h.self, promise{m.ask.number, given}))
 			return err
+		case m.lostAsk != nil && h.Lost != nil:
+			page := h.Lost(m.lostAsk.round, m.lostAsk.after)
+			_ = c.SetWriteDeadline(time.Now().Add(4 * h.retry))
+			_, err := c.Write(encodeLostPage(h.self, lostPage{m.lostAsk.number, page}))
+			return err
 		}
 		return nil
 	})
--- a/internal/peer/wire/Body.go
+++ b/internal/peer/wire/Body.go
@@ -11,6 +11,8 @@
 	BodyProgress Body = 1
 	BodyAsk      Body = 2
 	BodyPromise  Body = 3
+	BodyLostAsk  Body = 4
+	BodyLostPage Body = 5
 )
 
 var EnumNamesBody = map[Body]string{
@@ -18,6 +20,8 @@
 	BodyProgress: "Progress",
 	BodyAsk:      "Ask",
 	BodyPromise:  "Promise",
+	BodyLostAsk:  "LostAsk",
+	BodyLostPage: "LostPage",
 }
 
 var EnumValuesBody = map[string]Body{
@@ -25,6 +29,8 @@
 	"Progress": BodyProgress,
 	"Ask":      BodyAsk,
 	"Promise":  BodyPromise,
+	"LostAsk":  BodyLostAsk,
+	"LostPage": BodyLostPage,
 }
 
 func (v Body) String() string {
--- a/internal/peer/wire/Progress.go
+++ b/internal/peer/wire/Progress.go
@@ -65,8 +65,20 @@
 	return rcv._tab.MutateBoolSlot(6, n)
 }
 
+func (rcv *Progress) Uncertain() bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(8))
+	if o != 0 {
+		return rcv._tab.GetBool(o + rcv._tab.Pos)
+	}
+	return false
+}
+
+func (rcv *Progress) MutateUncertain(n bool) bool {
+	return rcv._tab.MutateBoolSlot(8, n)
+}
+
 func ProgressStart(builder *flatbuffers.Builder) {
-	builder.StartObject(2)
+	builder.StartObject(3)
 }
 func ProgressAddJobs(builder *flatbuffers.Builder, jobs flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(jobs), 0)
@@ -77,6 +89,9 @@
 func ProgressAddServed(builder *flatbuffers.Builder, served bool) {
 	builder.PrependBoolSlot(1, served, false)
 }
+func ProgressAddUncertain(builder *flatbuffers.Builder, uncertain bool) {
+	builder.PrependBoolSlot(2, uncertain, false)
+}
 func ProgressEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
