--- a/internal/control/assignment_log.go
+++ b/internal/control/assignment_log.go
@@ -44,6 +44,7 @@
 	carry    float64         // what segments have carried along lately, in bytes
 	again    int             // segments that the next transaction has to write once more
 	open     bool            // the outcome of an earlier transaction is not known
+	rewrite  int             // segments to be written once more, as they may be lost
 
 	begins []*assignment // to be written
 	ends   []*assignment
@@ -65,7 +66,7 @@
 }
 
 // waiting tells whether anything is to be written.
-func (k *assignmentLog) waiting() bool { return k.again > 0 || k.news() }
+func (k *assignmentLog) waiting() bool { return k.again > 0 || k.rewrite > 0 || k.news() }
 
 // blank makes a segment that was never written. Names leave no gaps, as a version
 // before this one names the next segment by the length of the ring.
@@ -101,6 +102,7 @@
 	k.number += uint64(n)
 	k.segments = append(k.segments[n:], k.segments[:n]...)
 	k.again, k.open = 0, false
+	k.rewrite = max(0, k.rewrite-n)
 }
 
 func sorted(m map[uint64]*assignment) []uint64 {
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -35,8 +35,8 @@
 	var back []*machine
 	for _, m := range l.machines.all {
 		switch {
-		case m.phase == returning:
-		case m.phase == booting && now.Sub(m.known) > times(l.bootTime(m.typ), l.Settings.Operator.LateBoots):
+		case m.phase == returning || !m.dead && l.mayHaveTasks(m):
+		case m.phase == booting && l.neverCameUp(m, now):
 			slog.Info("machine never came up", "machine", m.id, "term", l.token)
 			back = append(back, m)
 		case m.phase == up && !m.noticeUntil.IsZero() && now.After(m.noticeUntil) && !m.reported.After(m.noticeUntil):
@@ -62,6 +62,15 @@
 	l.rent(ctx, now)
 }
 
+// neverCameUp tells whether a machine that was not heard of is to be given up. One that
+// the list has as running may have tasks that no record names: it has a lease to report.
+func (l *Leader) neverCameUp(m *machine, now time.Time) bool {
+	if !m.runningSince.IsZero() && now.Sub(m.runningSince) < l.Derived.LeaseOver {
+		return false
+	}
+	return now.Sub(m.known) > times(l.bootTime(m.typ), l.Settings.Operator.LateBoots)
+}
+
 // rent asks for machines, with a few requests at a time: more would only wait for
 // each other at the cloud, and what they ask for be out of date when it comes.
 func (l *Leader) rent(ctx context.Context, now time.Time) {
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -10,6 +10,7 @@
 	jsonv2 "github.com/go-json-experiment/json"
 
 	"ospreyslip/internal/jobs"
+	"ospreyslip/internal/loss"
 	"ospreyslip/internal/state"
 )
 
@@ -17,6 +18,7 @@
 func (l *Leader) follow(ctx context.Context, after uint64) {
 	var least uint64
 	var asked time.Time
+	var newest loss.Highest
 	for ctx.Err() == nil {
 		// Only what reaches a revision read at some moment is as new as that: a
 		// watch may lag, or be empty because the service does not serve this node.
@@ -25,8 +27,14 @@
 				least, asked = r, sent
 			}
 		}
+		e, putBack := newest.See(loss.RevisionBack, "", least)
+		if putBack {
+			newest.Reset(least)
+			l.post(ctx, func(now time.Time) { l.suspect(e, now) })
+			after = 0 // revisions are given out again: nothing can be concluded from those before
+		}
 		rev, changes, err := l.Store.Watch(ctx, jobs.RecordPrefix, after, l.Derived.WatchWait)
-		if errors.Is(err, state.ErrCompacted) {
+		if putBack || errors.Is(err, state.ErrCompacted) {
 			var pairs []state.Pair
 			if pairs, rev, err = l.Store.List(ctx, jobs.RecordPrefix); err == nil {
 				for _, p := range pairs {
@@ -85,6 +93,7 @@
 
 func (l *Leader) jobChanged(c state.Change, now time.Time) {
 	if c.Set == "" {
+		l.Cache.Removed(c.Remove, c.Revision)
 		return
 	}
 	var rec jobs.Record
@@ -94,17 +103,33 @@
 	}
 	id := jobs.IDOf(c.Set)
 	j := l.jobs[id]
+	if known, _ := l.Cache.Known(id); known.Over() && !rec.Over() {
+		return // the record is older than what users were told: it will be written again
+	}
+	if rec.Held != nil {
+		l.hold(id, &rec, c.Revision)
+	} else {
+		delete(l.held, id)
+	}
 	switch {
 	case j == nil && l.unseen[id] > c.Revision: // cancelled since
 	case j == nil && !rec.Over() && rec.Spec != nil:
 		j = newJob(id, rec.Spec, c.Revision, rec.AtMs, now)
 		l.jobs[id] = j
+		if _, seen := l.knowledge[id]; seen || rec.Restored || l.strays[id] != nil {
+			l.adoptTasksOf(j, now)
+		}
 		l.show(j)
 		l.queue(j)
 		l.arrived(j, 0, now)
 		l.replan, l.uncovered = true, true
-	case j != nil && rec.State == jobs.Cancelled && !j.cancelled:
+	case j == nil: // over, or held
+	case rec.State == jobs.Cancelled && !j.cancelled:
 		l.cancelled(j, c.Revision)
+	case rec.State == jobs.Done && !j.recorded && !j.cancelled:
+		l.doneElsewhere(j)
+	case !rec.Over() && c.Revision > j.revision && !j.recorded:
+		j.revision = c.Revision // its record was lost, and is written again
 	}
 }
 
@@ -121,7 +146,7 @@
 	if !j.over() || len(j.tasks) > 0 || l.jobs[j.id] != j {
 		return
 	}
-	if j.final && !j.cancelled && j.revision != 0 {
+	if j.final && !j.cancelled && !j.recorded {
 		return // its record is still to be written
 	}
 	delete(l.jobs, j.id)
--- a/internal/control/job.go
+++ b/internal/control/job.go
@@ -15,7 +15,9 @@
 	atMs      int64
 	cancelled bool
 	heard     time.Time // when this leader heard that it is cancelled
+	endedAs   string    // by its record, where this leader found it over
 	final     bool      // done is written, or being written
+	recorded  bool      // done is written
 	done      []uint64
 	doneCount int
 	chunks    map[int]*chunk
@@ -35,6 +37,10 @@
 	errors    int       // failures in a row, over all machines
 	notBefore time.Time
 	shown     jobs.Counts
+	// While the assignment log may lack tasks of the job, none is placed, and those that
+	// workers show are adopted: see recovery_adopt.go.
+	adoptUntil time.Time
+	parts      map[int]gangPart // of an attempt of a gang that is not known whole yet
 }
 
 type chunk struct {
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -32,6 +32,9 @@
 	Publish  func(map[string]jobs.Counts)
 	Catalog  func() []jobs.MachineType
 	Counts   *Counts
+	Cache    *jobs.Cache // what this node knows of all jobs
+	Peers    PeerKnowledge
+	Node     string
 }
 
 // Leader is one term's work.
@@ -49,6 +52,7 @@
 	planner
 	dispatcher
 	fleetManager
+	recoverer
 
 	tickGroup int // of the ticks in a control interval
 	shownAt   time.Time
@@ -73,6 +77,8 @@
 	token         uint64
 	tokenRevision uint64
 	raiseToken    bool
+	tokenFloor    uint64 // the next token is above it: a worker, or the log, shows it
+	checkingToken bool
 	raisedAt      time.Time
 	clearHeld     bool              // an end is not cleared, for want of a higher token
 	doubtful      map[*machine]bool // with a doubtSince, and some that had one
@@ -134,7 +140,9 @@
 		tokens:       tokens{token: t.Token, tokenRevision: t.TokenRevision, doubtful: map[*machine]bool{}},
 		planner:      planner{queued: map[*job]bool{}, runTimes: map[string]*runTimes{}, attempts: t.Token << attemptBits},
 		fleetManager: fleetManager{renting: map[fleet.Kind]int{}, refused: map[fleet.Kind]refusal{}, returned: map[string]time.Time{}},
+		recoverer:    newRecoverer(),
 	}
+	l.round = t.Token << roundBits
 	l.watch = liveness.New(liveness.Config{
 		SilentFor: d.Derived.SilentFor, LeaseOver: d.Derived.LeaseOver,
 		HoldGrace: d.Derived.HoldGrace, Gap: d.Derived.VerdictGap, ZoneSize: smallZone,
@@ -143,6 +151,9 @@
 	return l
 }
 
+// roundBits is how many rounds of comparison a term has numbers for.
+const roundBits = 16
+
 // attemptBits is how many attempts a token has numbers for: no other term uses them.
 const attemptBits = 24
 
--- a/internal/control/listing.go
+++ b/internal/control/listing.go
@@ -47,6 +47,9 @@
 			m.addr = e.Addr
 		}
 		m.listed = asked
+		if e.State == fleet.Running && m.runningSince.IsZero() {
+			m.runningSince = now
+		}
 		if e.State == fleet.Failed && m.phase != returning {
 			slog.Info("machine failed", "machine", m.id, "term", l.token, "reason", "cloud says so")
 			failed = append(failed, m)
--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -21,19 +21,36 @@
 	if err != nil {
 		return 0, err
 	}
+	if err := l.readRecoveryKeys(ctx, now); err != nil {
+		return 0, err
+	}
 	log := l.readLog(segments)
+	l.checkLog(log, now)
 	named := jobsNamed(log)
 	ended := map[string]state.Pair{} // of which tasks may be left
-	over := 0
+	over, listed, known := 0, 0, l.Cache.Recorded()
 	after, err = l.Store.Each(ctx, jobs.RecordPrefix, func(p state.Pair) {
+		listed++
 		var rec jobs.Record
 		if err := jsonv2.Unmarshal(p.Value, &rec); err != nil {
 			slog.Error("job record unreadable", "key", p.Key, "reason", err)
 			return
 		}
 		id := jobs.IDOf(p.Key)
-		if !rec.Over() && rec.Spec != nil {
-			l.jobs[id] = newJob(id, rec.Spec, p.Revision, rec.AtMs, now)
+		told, _ := l.Cache.Known(id)
+		if rec.Held != nil {
+			l.hold(id, &rec, p.Revision)
+		}
+		switch {
+		case rec.Over(), told.Over(): // the latter: it is older than what users were told
+		case rec.Held != nil:
+			return
+		case rec.Spec != nil:
+			j := newJob(id, rec.Spec, p.Revision, rec.AtMs, now)
+			l.jobs[id] = j
+			if rec.Restored || l.affectsLog {
+				l.adoptTasksOf(j, now)
+			}
 			return
 		}
 		over++
@@ -44,6 +61,7 @@
 	if err != nil {
 		return 0, err
 	}
+	l.checkRecords(log, ended, known, listed, now)
 	l.restore(log, ended, now)
 	for _, j := range l.jobs {
 		if j.isGang() && !j.over() && j.verdict() == gang.End {
@@ -161,17 +179,19 @@
 // whole log is read.
 func (l *Leader) restoreTask(p *segment, m *machine, session uint64, t taskRecord, ended map[string]state.Pair, now time.Time) {
 	j := l.jobs[t.Job]
+	if _, recorded := ended[t.Job]; j == nil && !recorded {
+		l.learnFromLog(t)
+		return
+	}
 	if j == nil {
 		var old jobs.Record
-		if p, ok := ended[t.Job]; ok {
-			_ = jsonv2.Unmarshal(p.Value, &old)
-		}
+		_ = jsonv2.Unmarshal(ended[t.Job].Value, &old)
 		if old.Spec == nil {
 			// Done: what is left of it on the machine ends by itself.
 			old.Spec = &jobs.Spec{ID: t.Job, Tasks: t.N + 1, Shape: jobs.Batch}
 		}
 		j = newJob(t.Job, old.Spec, ended[t.Job].Revision, 0, now)
-		j.cancelled = true
+		j.cancelled, j.endedAs = true, old.State
 		l.jobs[t.Job] = j
 	}
 	if t.N < 0 || t.N >= j.spec.Tasks {
--- a/internal/control/log_records.go
+++ b/internal/control/log_records.go
@@ -19,6 +19,8 @@
 	Over   []uint64      `json:"over,omitempty"` // attempts begun on earlier segments
 	Done   []doneRecord  `json:"done,omitempty"`
 	Dead   []string      `json:"dead,omitempty"` // machines judged since
+
+	broken bool // could not be read
 }
 
 // begunRecord is the tasks that were given to one machine in one session.
@@ -63,6 +65,7 @@
 		k.keys[pair.Key] = true
 		if err := jsonv2.Unmarshal(pair.Value, &r.rec); err != nil {
 			slog.Error("segment of the assignment log unreadable", "key", pair.Key, "reason", err)
+			r.rec.broken = true
 		}
 		all = append(all, r)
 	}
--- a/internal/control/log_writer.go
+++ b/internal/control/log_writer.go
@@ -235,7 +235,7 @@
 // transaction that is being put together.
 func (l *Leader) completionSaved(b *batch, a *assignment) bool {
 	j := a.job
-	if j.cancelled || j.final && j.revision == 0 {
+	if j.cancelled || j.recorded {
 		return true
 	}
 	if _, ok := b.revisions[jobs.RecordKey(j.id)]; ok {
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -53,6 +53,7 @@
 	ordered             map[ref]uint64  // what was begun by an order, with its token
 	failures            map[string]bool // jobs that failed here since one succeeded
 	listed              time.Time       // when the newest list that had it was asked for
+	runningSince        time.Time       // since when the list has it as running
 	lastCalls           []workers.Call  // what the last answer asked for
 	undelivered         int             // answers in a row of which nothing came
 }
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -43,7 +43,7 @@
 		case j.isGang() && len(j.tasks) > 0:
 			// Looked at again when the last task of its attempt is forgotten. (Begun
 			// earlier, with those whose ends were durable first, it stayed a part.)
-		case now.Before(j.notBefore):
+		case now.Before(j.notBefore), l.awaitsWorkers(j, now):
 			l.replan = true
 		default:
 			p := l.planJob(j, now, wall)
--- /dev/null
+++ b/internal/control/recovery_compare.go
@@ -0,0 +1,328 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"strings"
+	"sync"
+	"time"
+
+	jsonv2 "github.com/go-json-experiment/json"
+
+	"ospreyslip/internal/jobs"
+	"ospreyslip/internal/loss"
+	"ospreyslip/internal/peer"
+	"ospreyslip/internal/recovery"
+	"ospreyslip/internal/state"
+	"ospreyslip/internal/term"
+)
+
+// lostPageRows is how many lost jobs are taken in at a time, here and from a peer.
+const lostPageRows = 500
+
+// peerScan is how far one controller's knowledge has been taken in.
+type peerScan struct {
+	after string
+	busy  bool
+	done  bool
+	gone  bool // it has not answered for too long
+	next  time.Time
+}
+
+// compareOwn takes in a page of what this node's cache knows beyond the records.
+func (l *Leader) compareOwn() {
+	if l.ownDone || !l.Cache.Verified(l.ticket) {
+		return
+	}
+	page, more := l.Cache.Lost(l.ownAfter, lostPageRows)
+	for _, lost := range page {
+		l.ownAfter = lost.ID
+		l.learn(lost.ID, recovery.FromCache(l.Node), lost.State, lost.Tasks, l.kept.get(lost.ID))
+		l.learnOwn(lost.ID)
+	}
+	l.ownDone = !more
+}
+
+// learnOwn takes in what this leader's own picture says of a lost job.
+func (l *Leader) learnOwn(id string) {
+	j := l.jobs[id]
+	if j == nil {
+		return
+	}
+	k := recovery.Knowledge{Done: j.final, Cancelled: j.cancelled, Unfinished: !j.over(), Spec: j.spec, AtMs: j.atMs}
+	if j.endedAs != "" {
+		k = recovery.Knowledge{Done: j.endedAs == jobs.Done, Cancelled: j.endedAs == jobs.Cancelled}
+	}
+	l.knowledge.Add(id, recovery.Says(recovery.FromLeader, k))
+}
+
+// learn takes in what a controller's cache says of a lost job, and the record of it that
+// the controller kept, if it has one.
+func (l *Leader) learn(id string, from recovery.Source, state string, tasks int, kept *jobs.Record) {
+	k := recovery.Knowledge{Tasks: tasks}
+	switch state {
+	case jobs.Done:
+		k.Done = true
+	case jobs.Cancelled:
+		k.Cancelled = true
+	case jobs.Queued:
+		k.Unfinished = true
+	}
+	if kept != nil {
+		k.Spec, k.AtMs = kept.Spec, kept.AtMs
+	}
+	l.knowledge.Add(id, recovery.Says(from, k))
+}
+
+// comparePeers goes on asking the other controllers, one page at a time each.
+func (l *Leader) comparePeers(ctx context.Context, now time.Time) {
+	for _, name := range l.Peers.Peers() {
+		scan := l.peers[name]
+		if scan == nil {
+			scan = &peerScan{}
+			l.peers[name] = scan
+		}
+		if scan.busy || scan.done || now.Before(scan.next) {
+			continue
+		}
+		if !scan.gone && now.Sub(l.since) > l.Derived.Cancel {
+			scan.gone = true
+			slog.Info("controller not heard, taken for gone", "term", l.token, "peer", name)
+			l.history.add(now, "peer not heard", name)
+		}
+		if scan.gone {
+			continue
+		}
+		scan.busy = true
+		round, after := l.round, scan.after
+		go func() {
+			try, cancel := context.WithTimeout(ctx, l.Derived.TermLease)
+			defer cancel()
+			page, err := l.Peers.AskLost(try, name, round, after)
+			l.post(ctx, func(now time.Time) { l.peerAnswered(name, scan, page, err, now) })
+		}()
+	}
+}
+
+func (l *Leader) peerAnswered(name string, scan *peerScan, page peer.LostPage, err error, now time.Time) {
+	scan.busy = false
+	if l.peers[name] != scan {
+		return // of an earlier round
+	}
+	if err != nil || !page.Ready {
+		scan.next = now.Add(l.Derived.ControlInterval / 2)
+		return
+	}
+	for _, j := range page.Jobs {
+		if !jobs.ValidID(j.ID) {
+			slog.Error("peer names a job that cannot be", "peer", name, "job", j.ID)
+			continue
+		}
+		scan.after = j.ID
+		l.learn(j.ID, recovery.FromCache(name), j.State, j.Tasks, decodeRecord(j.Record))
+		l.learnOwn(j.ID)
+	}
+	scan.done = !page.More
+}
+
+// decodeRecord reads a record that a controller kept; nil if there is none.
+func decodeRecord(raw []byte) *jobs.Record {
+	var rec jobs.Record
+	if len(raw) == 0 || jsonv2.Unmarshal(raw, &rec) != nil {
+		return nil
+	}
+	return &rec
+}
+
+func (l *Leader) allPeersHeard(now time.Time) bool {
+	for _, name := range l.Peers.Peers() {
+		if scan := l.peers[name]; scan == nil || !scan.done && !scan.gone {
+			return false
+		}
+	}
+	return true
+}
+
+// recoveryStatus is what a leader leaves for the next one, and for nodes that start, while
+// it compares and writes back.
+type recoveryStatus struct {
+	Token   uint64 `json:"token"`
+	SinceMs int64  `json:"sinceMs"`
+	Log     bool   `json:"log"` // the assignment log may lack tasks
+}
+
+// logSizeKey tells how many segments the assignment log had when last looked at. It never
+// gets smaller: fewer segments mean that some were lost. Each leader keeps it, at the cost
+// of a change whenever the log has grown.
+const logSizeKey = "recovery/log"
+
+// readRecoveryKeys reads what earlier leaders have left: whether one of them was at it,
+// and how many segments there were.
+func (l *Leader) readRecoveryKeys(ctx context.Context, now time.Time) error {
+	pairs, _, err := l.Store.List(ctx, recoveryPrefix)
+	if err != nil {
+		return err
+	}
+	for _, p := range pairs {
+		switch p.Key {
+		case jobs.RecoveryStatusKey:
+			l.readStatus(p, now)
+		case logSizeKey:
+			if err := json.Unmarshal(p.Value, &l.logSize); err != nil {
+				slog.Error("size of the assignment log unreadable", "reason", err)
+			}
+		}
+	}
+	if l.phase == Whole && (l.Cache.Suspected() || l.Cache.LostJobs() > 0) {
+		// Something was noticed while nobody led.
+		l.expectTasks(now)
+		l.suspect(loss.Loss{Kind: loss.Earlier}, now)
+	}
+	return nil
+}
+
+func (l *Leader) readStatus(p state.Pair, now time.Time) {
+	var was recoveryStatus
+	if err := json.Unmarshal(p.Value, &was); err != nil {
+		slog.Error("recovery status unreadable", "reason", err)
+		was.Log = true
+	}
+	if was.Log {
+		l.expectTasks(now)
+	}
+	l.suspect(loss.Loss{Kind: loss.Earlier, Known: was.Token}, now)
+}
+
+// checkRecords compares the records that a new leader has read with what this node knew
+// before, and with the jobs that the log names. No record is ever removed.
+func (l *Leader) checkRecords(log []segmentRecord, ended map[string]state.Pair, known, listed int, now time.Time) {
+	if listed < known {
+		l.expectTasks(now)
+		l.suspect(loss.Loss{Kind: loss.RecordMissing, Known: uint64(known), Found: uint64(listed)}, now)
+	}
+	for id := range jobsNamed(log) {
+		if _, recorded := ended[id]; !recorded && l.jobs[id] == nil && l.held[id] == nil {
+			l.expectTasks(now)
+			l.suspect(loss.Loss{Kind: loss.RecordMissing, Key: jobs.RecordKey(id)}, now)
+		}
+	}
+}
+
+// learnFromLog takes in a task of a job without a record. That it has no place in the log
+// any more is made good when the job's record is back: workers show what they have of it.
+func (l *Leader) learnFromLog(t taskRecord) {
+	if l.held[t.Job] == nil {
+		l.knowledge.Add(t.Job, recovery.Says(recovery.FromLog, recovery.Knowledge{LeastTasks: t.N + 1}))
+	}
+}
+
+// expectTasks takes in that machines may have tasks that the assignment log does not name:
+// until every lease from before this term has ended, nothing of earlier jobs is placed.
+func (l *Leader) expectTasks(now time.Time) {
+	l.affectsLog = true
+	l.workersBy = now.Add(l.Derived.LeaseOver)
+}
+
+// checkLog looks for holes in the log that a new leader has read.
+func (l *Leader) checkLog(log []segmentRecord, now time.Time) {
+	var segments []loss.Segment
+	first := len(l.log.segments) - len(log)
+	newest := uint64(0)
+	for i, rec := range log {
+		segments = append(segments, loss.Segment{Key: l.log.segments[first+i].key, Number: rec.Number, Broken: rec.broken})
+		for _, b := range rec.Begun {
+			for _, t := range b.Tasks {
+				newest = max(newest, t.Attempt)
+			}
+		}
+	}
+	if len(log) < l.logSize {
+		l.expectTasks(now)
+		l.suspect(loss.Loss{Kind: loss.SegmentMissing, Key: logPrefix, Known: uint64(l.logSize), Found: uint64(len(log))}, now)
+	}
+	for _, e := range loss.CheckRing(logPrefix, segments) {
+		l.expectTasks(now)
+		l.suspect(e, now)
+	}
+	l.attempts = max(l.attempts, newest)
+	if token := loss.TokenOfAttempt(newest, attemptBits); token > l.token {
+		l.expectTasks(now)
+		l.tokenFloor, l.raiseToken = max(l.tokenFloor, token), true
+		l.suspect(loss.Loss{Kind: loss.TokenBack, Key: term.TokenKey, Known: token, Found: l.token}, now)
+	}
+}
+
+// checkSegment looks at a key whose revision was not as this leader wrote it. Without a
+// transaction of unknown outcome, only a loss explains that.
+func (l *Leader) checkSegment(key string, p state.Pair) {
+	if !strings.HasPrefix(key, logPrefix) || l.log.open {
+		return
+	}
+	kind := loss.SegmentOlder
+	if p.Revision == 0 {
+		kind = loss.SegmentMissing
+	}
+	l.suspect(loss.Loss{Kind: kind, Key: key, Found: p.Revision}, time.Now())
+}
+
+// keptRecords are the descriptions of unfinished jobs that a leader had when its term
+// ended while records were lost: its successor may not have them.
+type keptRecords struct {
+	mu      sync.Mutex
+	records map[string]jobs.Record
+}
+
+// take keeps a leader's descriptions, if records may be lost.
+func (k *keptRecords) take(l *Leader) {
+	if l.Cache == nil || !l.Cache.Suspected() && l.phase == Whole {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.records == nil {
+		k.records = map[string]jobs.Record{}
+	}
+	for id, j := range l.jobs {
+		if !j.over() {
+			k.records[id] = jobs.Record{State: jobs.Queued, Tasks: j.spec.Tasks, Spec: j.spec, AtMs: j.atMs}
+		}
+	}
+	for id, known := range l.knowledge {
+		if known.Spec != nil {
+			k.records[id] = jobs.Record{State: jobs.Queued, Tasks: known.Spec.Tasks, Spec: known.Spec, AtMs: known.AtMs}
+		}
+	}
+}
+
+func (k *keptRecords) get(id string) *jobs.Record {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if rec, ok := k.records[id]; ok {
+		return &rec
+	}
+	return nil
+}
+
+func (k *keptRecords) drop() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.records = nil
+}
+
+// Kept returns the record of a job that this node kept from its last term, as JSON; nil
+// if there is none.
+func (g *Gate) Kept(id string) []byte {
+	rec := g.kept.get(id)
+	if rec == nil {
+		return nil
+	}
+	raw, err := json.Marshal(rec)
+	if err != nil {
+		return nil
+	}
+	return raw
+}
+
+// ForgetKept drops what was kept from the last term: another leader has recovered.
+func (g *Gate) ForgetKept() { g.kept.drop() }
--- /dev/null
+++ b/internal/control/recovery_write.go
@@ -0,0 +1,265 @@
+package control
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"log/slog"
+	"slices"
+	"time"
+
+	jsonv2 "github.com/go-json-experiment/json"
+
+	"ospreyslip/internal/jobs"
+	"ospreyslip/internal/recovery"
+	"ospreyslip/internal/state"
+	"ospreyslip/internal/term"
+)
+
+// recoveryShare is the part of the leader's writes that lost records may take.
+const recoveryShare = 0.25
+
+// leaderWriteShare is the part of all writes that the leader has, as node parts them.
+const leaderWriteShare = 0.64
+
+// writeOrder is in which order lost jobs are written back: what must not run first, then
+// what waits to run, then what is over by itself.
+func writeOrder(d recovery.Decision) int {
+	switch {
+	case d.State == jobs.Cancelled:
+		return 0
+	case !d.Final():
+		return 1
+	}
+	return 2
+}
+
+// queueDecided queues all jobs of the view for their records to be written.
+func (l *Leader) queueDecided() {
+	l.unwritten = l.knowledge.IDs()
+	order := make(map[string]int, len(l.unwritten))
+	for _, id := range l.unwritten {
+		order[id] = writeOrder(recovery.Decide(l.knowledge[id], true))
+	}
+	slices.SortStableFunc(l.unwritten, func(a, b string) int { return cmp.Compare(order[a], order[b]) })
+}
+
+// lostRecord is a record that is being written back.
+type lostRecord struct {
+	id       string
+	decision recovery.Decision
+	value    json.RawMessage
+	revision uint64 // guard: of the record as it stands; 0 if there is none
+}
+
+// composeRecord makes a job's record of what is known of it.
+func (l *Leader) composeRecord(id string, k recovery.Knowledge, d recovery.Decision, now time.Time) lostRecord {
+	rec := k.Record(d, now.UnixMilli())
+	if l.jobs[id] != nil {
+		rec.Restored = false // this leader's log has its tasks
+	}
+	r := lostRecord{id: id, decision: d, revision: l.Cache.RecordRevision(id)}
+	if d.Final() {
+		r.value = rec.Ended(d.State, l.Derived.ValueBytes)
+	} else {
+		r.value, _ = json.Marshal(rec)
+	}
+	return r
+}
+
+// writeBack writes the next lost records. Each is guarded by what stands there, and all
+// by the term.
+func (l *Leader) writeBack(ctx context.Context, now time.Time) {
+	if len(l.unwritten) == 0 || l.recording || now.Before(l.recordAt) || !l.Valid() {
+		return
+	}
+	var batch []lostRecord
+	bytes := 0
+	for len(l.unwritten) > 0 && len(batch) < max(1, l.Derived.TxnOps/2) {
+		id := l.unwritten[0]
+		k, known := l.knowledgeOf(id)
+		if !known {
+			l.unwritten = l.unwritten[1:]
+			continue
+		}
+		r := l.composeRecord(id, k, recovery.Decide(k, true), now)
+		if len(batch) > 0 && bytes+len(r.value) > txnBytes {
+			break
+		}
+		l.unwritten = l.unwritten[1:]
+		if len(r.value) > l.Derived.ValueBytes {
+			slog.Error("lost record too large to be written", "job", id, "bytes", len(r.value))
+			continue
+		}
+		bytes += len(r.value)
+		batch = append(batch, r)
+	}
+	if len(batch) > 0 {
+		l.commitRecords(ctx, batch, now)
+	}
+}
+
+// knowledgeOf returns what is known of a job that is to be written.
+func (l *Leader) knowledgeOf(id string) (recovery.Knowledge, bool) {
+	if h := l.held[id]; h != nil {
+		return h.known.Join(l.knowledge[id]), true
+	}
+	k, known := l.knowledge[id]
+	return k, known
+}
+
+func (l *Leader) commitRecords(ctx context.Context, batch []lostRecord, now time.Time) {
+	l.recording = true
+	perSecond := recoveryShare * leaderWriteShare * l.Settings.Deployment.State.Within().WriteRPS
+	l.recordAt = now.Add(time.Duration(float64(len(batch)) / perSecond * float64(time.Second)))
+	guards := []state.Guard{{Key: term.HolderKey, Revision: l.term.Revision}}
+	var writes []state.Write
+	for _, r := range batch {
+		guards = append(guards, state.Guard{Key: jobs.RecordKey(r.id), Revision: r.revision})
+		writes = append(writes, state.Write{Set: jobs.RecordKey(r.id), Value: r.value})
+	}
+	go func() {
+		rev, failed, err := l.Store.Commit(ctx, guards, writes)
+		found := l.readRecords(ctx, failed)
+		l.post(ctx, func(now time.Time) { l.recordsWritten(batch, rev, failed, found, err, now) })
+	}()
+}
+
+// readRecords reads the records whose guards have failed. One that cannot be read stays
+// unknown, and is tried again.
+func (l *Leader) readRecords(ctx context.Context, keys []string) map[string]state.Pair {
+	found := map[string]state.Pair{}
+	for _, key := range keys {
+		if p, _, err := l.Store.Get(ctx, key); err == nil && key != term.HolderKey {
+			found[jobs.IDOf(key)] = p
+		}
+	}
+	return found
+}
+
+// recordsWritten takes in the outcome. What was not executed, or may not have been, is
+// queued again: if it was, its guard fails, and what is read then settles it.
+func (l *Leader) recordsWritten(batch []lostRecord, rev uint64, failed []string, found map[string]state.Pair, err error, now time.Time) {
+	l.recording = false
+	if slices.Contains(failed, term.HolderKey) {
+		slog.Info("term lost", "term", l.token, "reason", "holder key changed")
+		l.resign = true
+		return
+	}
+	if err == nil && len(failed) == 0 {
+		for _, r := range batch {
+			l.recordWritten(r, rev, now)
+		}
+		return
+	}
+	if err != nil {
+		slog.Debug("lost records not written", "term", l.token, "reason", err)
+		l.recordAt = now.Add(l.Derived.TermRenew)
+	}
+	for _, r := range slices.Backward(batch) {
+		if p, read := found[r.id]; read && l.standsAlready(r, p) {
+			delete(l.knowledge, r.id)
+			continue
+		}
+		l.unwritten = slices.Insert(l.unwritten, 0, r.id)
+	}
+}
+
+// standsAlready takes in a record that was not as expected, and tells whether it needs no
+// writing any more: it says as much as what would be written.
+func (l *Leader) standsAlready(r lostRecord, p state.Pair) bool {
+	if p.Revision == 0 {
+		l.Cache.Missing(r.id)
+		return false
+	}
+	l.Cache.Set(p.Key, p.Value, p.Revision)
+	var rec jobs.Record
+	if jsonv2.Unmarshal(p.Value, &rec) != nil {
+		return false // what cannot be read is written over, by its revision
+	}
+	switch {
+	case rec.Over():
+		// Another end than what is known is for an operator to see.
+		return rec.State == r.decision.State || !r.decision.Final()
+	case rec.Held != nil:
+		l.hold(r.id, &rec, p.Revision)
+		return r.decision.Held
+	}
+	return !r.decision.Final() // accepted anew, or written back already
+}
+
+func (l *Leader) recordWritten(r lostRecord, rev uint64, now time.Time) {
+	l.restored[r.decision.Outcome]++
+	l.Cache.Set(jobs.RecordKey(r.id), r.value, rev)
+	k, _ := l.knowledgeOf(r.id)
+	slog.Info("lost record written", "job", r.id, "term", l.token, "outcome", string(r.decision.Outcome), "rule", string(r.decision.Rule), "said", k.Words())
+	l.history.add(now, string(r.decision.Outcome), r.id)
+	delete(l.knowledge, r.id)
+	if r.decision.Held || r.decision.Outcome == recovery.Contradictory {
+		l.held[r.id] = &heldJob{revision: rev, why: string(r.decision.Rule), sinceMs: now.UnixMilli(), known: k}
+	}
+}
+
+// writeStatus leaves word that records are being compared, before anything else is done.
+func (l *Leader) writeStatus(ctx context.Context, now time.Time) {
+	if l.marked || l.recording || now.Before(l.recordAt) || !l.Valid() {
+		return
+	}
+	value, _ := json.Marshal(recoveryStatus{Token: l.term.Token, SinceMs: now.UnixMilli(), Log: l.affectsLog})
+	l.commitStatus(ctx, state.Write{Set: jobs.RecoveryStatusKey, Value: value}, true)
+}
+
+func (l *Leader) removeStatus(ctx context.Context, now time.Time) {
+	if !l.unmark || l.recording || now.Before(l.recordAt) || len(l.adopting) > 0 || l.log.waiting() || !l.Valid() {
+		return // tasks that were adopted are durable first
+	}
+	l.commitStatus(ctx, state.Write{Remove: jobs.RecoveryStatusKey}, false)
+}
+
+func (l *Leader) commitStatus(ctx context.Context, w state.Write, marked bool) {
+	l.commitKey(ctx, w, func() {
+		l.marked = marked
+		l.unmark = l.unmark && marked
+	})
+}
+
+// writeLogSize keeps the key that says how many segments there are. A lease is long enough
+// between two writes: the log grows seldom.
+func (l *Leader) writeLogSize(ctx context.Context, now time.Time) {
+	if l.recording || now.Sub(l.logSizeAt) < l.Derived.Lease || !l.Valid() {
+		return
+	}
+	written := 0
+	for _, p := range l.log.segments {
+		if p.revision != 0 {
+			written++
+		}
+	}
+	if written <= l.logSize {
+		return
+	}
+	l.logSizeAt = now
+	value, _ := json.Marshal(written)
+	l.commitKey(ctx, state.Write{Set: logSizeKey, Value: value}, func() { l.logSize = written })
+}
+
+// commitKey writes one key of the recovery's own, guarded by the term.
+func (l *Leader) commitKey(ctx context.Context, w state.Write, written func()) {
+	l.recording = true
+	guards := []state.Guard{{Key: term.HolderKey, Revision: l.term.Revision}}
+	go func() {
+		_, failed, err := l.Store.Commit(ctx, guards, []state.Write{w})
+		l.post(ctx, func(now time.Time) {
+			l.recording = false
+			switch {
+			case len(failed) > 0:
+				slog.Info("term lost", "term", l.token, "reason", "holder key changed")
+				l.resign = true
+			case err != nil:
+				l.recordAt = now.Add(l.Derived.TermRenew)
+			default:
+				written()
+			}
+		})
+	}()
+}
--- a/internal/control/report.go
+++ b/internal/control/report.go
@@ -4,11 +4,15 @@
 	"log/slog"
 	"time"
 
+	"ospreyslip/internal/jobs"
 	"ospreyslip/internal/workers"
 )
 
 // report answers a worker, or returns nil if this node has no right to.
 func (l *Leader) report(r *workers.Report, now time.Time) *workers.Answer {
+	if r.Token > l.token {
+		l.tokenAhead(r.Token, now)
+	}
 	if !l.Valid() || l.viewAge(now) > l.Derived.WatchStale || r.Token > l.token {
 		return nil
 	}
@@ -55,6 +59,7 @@
 		m.dead = false
 		slog.Info("machine reports again", "machine", m.id, "term", l.token)
 	}
+	l.adopt(m, r, now)
 	l.observe(m, r, now)
 	m.reported, m.orderFails = now, 0
 	l.updateCapacity(m, now)
@@ -71,13 +76,22 @@
 	calls := []workers.Call{}
 	for _, t := range r.Tasks {
 		id, _, ok := workers.SplitTask(t.Task)
-		if j := l.jobs[id]; ok && j != nil && j.cancelled && t.State != workers.Ended {
+		if ok && l.isCancelled(id) && t.State != workers.Ended {
 			calls = append(calls, stopCall(t.Task, t.Attempt, 0))
 		}
 	}
 	return calls
 }
 
+// isCancelled tells whether a job is known to be cancelled.
+func (l *Leader) isCancelled(id string) bool {
+	if j := l.jobs[id]; j != nil {
+		return j.cancelled
+	}
+	known, _ := l.Cache.Known(id)
+	return known.State == jobs.Cancelled
+}
+
 // mayStartCancelled tells whether an order on its way may still begin a task whose job
 // is cancelled. A higher token ends that, but in an outage of the state service there
 // is none to be had. Then the worker's lease has to end in time, and with it the
@@ -164,6 +178,8 @@
 			continue // its end is not durable yet
 		}
 		switch {
+		case l.accountsFor(m, &t):
+			// Its job may have been lost: it is neither stopped nor cleared.
 		case t.State != workers.Ended:
 			calls = append(calls, stopCall(t.Task, t.Attempt, 0))
 		case m.ordered[refOf(&t)] >= m.token:
--- a/internal/control/tick.go
+++ b/internal/control/tick.go
@@ -117,6 +117,7 @@
 		l.judged(ctx, l.machines.byID[v.Machine], v.Reason, now)
 	}
 	l.manageFleet(ctx, now)
+	l.recoverRecords(ctx, now)
 	// What is known to be lost is durable first: the next leader would wait a whole lease
 	// for it once more.
 	if l.watch.Disrupted() && l.mayResign && !l.writing && !l.log.waiting() {
--- a/internal/control/write.go
+++ b/internal/control/write.go
@@ -12,6 +12,7 @@
 	jsonv2 "github.com/go-json-experiment/json"
 
 	"ospreyslip/internal/jobs"
+	"ospreyslip/internal/loss"
 	"ospreyslip/internal/state"
 	"ospreyslip/internal/term"
 )
@@ -79,7 +80,7 @@
 	segments := 0
 	for ; segments < len(l.log.segments) && len(b.writes) < l.Derived.TxnOps; segments++ {
 		must := segments < l.log.again
-		if !must && (!l.log.news() || b.bytes+l.log.most > txnBytes) {
+		if !must && (!l.log.news() && l.log.rewrite <= segments || b.bytes+l.log.most > txnBytes) {
 			break
 		}
 		l.addSegment(b, segments, segments+1 >= l.log.again)
@@ -91,19 +92,21 @@
 }
 
 func (l *Leader) addToken(b *batch) {
-	next := l.token + 1
+	next := max(l.token, l.tokenFloor) + 1
 	l.raiseToken = false
 	b.undo = append(b.undo, func() { l.raiseToken = true })
 	b.done = append(b.done, func(rev uint64) {
 		l.token, l.tokenRevision = next, rev
 		l.clearHeld = false
 		l.Raised(next)
+		l.tokenRaised()
 		slog.Info("token raised", "term", l.token, "reason", "an order may still arrive")
 	})
 	b.add(term.TokenKey, l.tokenRevision, json.RawMessage(strconv.FormatUint(next, 10)), func(m uint64) {
-		// Ours, from an attempt whose outcome was unknown.
+		// Ours, from an attempt whose outcome was unknown; or the key was lost.
 		l.token, l.tokenRevision = next, m
 		l.Raised(next)
+		l.tokenRaised()
 	})
 }
 
@@ -121,10 +124,18 @@
 }
 
 func (l *Leader) finalDone(j *job) {
-	j.revision = 0
+	j.recorded = true
 	l.settled(j)
 }
 
+// doneElsewhere takes in that a job is done by what others know, while this leader had it
+// from a record that was put back.
+func (l *Leader) doneElsewhere(j *job) {
+	j.final = true
+	l.cancelTasks(j)
+	l.finalDone(j)
+}
+
 // written takes in the outcome of a transaction.
 func (l *Leader) written(ctx context.Context, b *batch, rev uint64, failed []string, err error) {
 	// What was too large is no outage: were it taken for one, and nothing were left to
@@ -207,13 +218,24 @@
 		if learn := b.revisions[key]; learn != nil {
 			learn(p.Revision)
 		}
+		l.checkSegment(key, p)
 		return
 	}
 	var rec jobs.Record
 	j := l.jobs[id]
+	if j != nil && p.Revision == 0 {
+		// Lost: it is written in place of what is not there any more.
+		j.revision = 0
+		l.suspect(loss.Loss{Kind: loss.RecordMissing, Key: key}, time.Now())
+		return
+	}
 	if j == nil || jsonv2.Unmarshal(p.Value, &rec) != nil {
 		return
 	}
+	if !rec.Over() {
+		j.revision = p.Revision // it was lost and is back
+		return
+	}
 	l.finished = slices.DeleteFunc(l.finished, func(f *job) bool { return f == j })
 	switch rec.State {
 	case jobs.Done:
--- a/internal/jobs/cache.go
+++ b/internal/jobs/cache.go
@@ -124,6 +124,15 @@
 		for _, c := range waiting {
 			c <- err
 		}
+		if err == nil {
+			err = m.verify(ctx)
+		}
+		if err != nil {
+			slog.Debug("records not read", "reason", err)
+		}
+		if m.pending() {
+			idle = m.gap
+		}
 	}
 }
 
--- a/internal/jobs/lost.go
+++ b/internal/jobs/lost.go
@@ -34,8 +34,10 @@
 type losses struct {
 	jobs         *btree.BTreeG[Lost] // by id
 	suspectUntil time.Time
-	compared     bool // this node began while records were being compared: it saw none of what was lost
-	missing      int  // of the jobs, those without a record
+	compared     bool   // this node began while records were being compared: it saw none of what was lost
+	missing      int    // of the jobs, those without a record
+	wanted       uint64 // comparisons asked for
+	verified     uint64 // comparisons made
 }
 
 // lossDegree is the width of the tree's nodes.
@@ -72,6 +74,13 @@
 	return page, more
 }
 
+// Recorded returns how many jobs have a record, as far as this node knows.
+func (m *Cache) Recorded() int {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.jobs.size() - m.losses.missing
+}
+
 // LostJobs returns how many jobs this node knows more of than the state service.
 func (m *Cache) LostJobs() int {
 	m.mu.RLock()
@@ -299,6 +308,55 @@
 	}
 }
 
+// Verify has all records compared with what this node knows, once. Verified tells when
+// that is done.
+func (m *Cache) Verify() (ticket uint64) {
+	m.mu.Lock()
+	m.losses.wanted++
+	ticket = m.losses.wanted
+	m.mu.Unlock()
+	m.Check()
+	return ticket
+}
+
+// Verified tells whether a comparison that was asked for has been made.
+func (m *Cache) Verified(ticket uint64) bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.losses.verified >= ticket
+}
+
+// verify makes the comparisons that were asked for by now, in one.
+func (m *Cache) verify(ctx context.Context) error {
+	m.mu.RLock()
+	wanted, verified := m.losses.wanted, m.losses.verified
+	m.mu.RUnlock()
+	if wanted == verified {
+		return nil
+	}
+	if err := m.findMissing(ctx, 0); err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.losses.verified = wanted
+	return nil
+}
+
+// pending tells whether a comparison is asked for.
+func (m *Cache) pending() bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.losses.wanted != m.losses.verified
+}
+
+// RecordRevision returns the revision of a job's record as this node knows it; 0 if there
+// is none.
+func (m *Cache) RecordRevision(id string) uint64 { return m.knownRevision(id) }
+
+// Set takes in a record that was read or written elsewhere in this process.
+func (m *Cache) Set(key string, value json.RawMessage, revision uint64) { m.set(key, value, revision) }
+
 // readStatus finds out whether records are being compared at the moment.
 func (m *Cache) readStatus(ctx context.Context) error {
 	_, found, err := m.store.Get(ctx, RecoveryStatusKey)
@@ -328,6 +386,8 @@
 	HeldMs int64  `json:"heldMs,omitempty"` // time of day since when it is held
 	// Complete tells that nothing but the description is missing.
 	Complete bool `json:"complete,omitempty"`
+	// Contradicts tells of a job that is over, done by one source and cancelled by another.
+	Contradicts bool `json:"contradicts,omitempty"`
 }
 
 // described returns a held record with the description that was missing. If nothing else
@@ -344,3 +404,10 @@
 	raw, _ := json.Marshal(now)
 	return raw
 }
+
+// Listed tells whether this node has read all records since it began.
+func (m *Cache) Listed() bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.listed
+}
--- a/internal/jobs/record.go
+++ b/internal/jobs/record.go
@@ -39,8 +39,11 @@
 // tasks count for until they are gone.
 func (r *Record) Ended(to string, most int) json.RawMessage {
 	end := Record{State: to, Tasks: r.Tasks}
+	if r.Held != nil && r.Held.Contradicts {
+		end.Held = r.Held
+	}
 	if to == Cancelled {
-		end.Spec = r.description()
+		end.Spec = r.Description()
 	}
 	raw, _ := json.Marshal(end)
 	if s := end.Spec; len(raw) > most && end.Spec != nil {
@@ -50,9 +53,9 @@
 	return raw
 }
 
-// description returns the job's description, also of one that is held; nil if it is not
+// Description returns the job's description, also of one that is held; nil if it is not
 // known.
-func (r *Record) description() *Spec {
+func (r *Record) Description() *Spec {
 	if r.Spec == nil && r.Held != nil {
 		return r.Held.Spec
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"ospreyslip/internal/control"
 	"ospreyslip/internal/fleet"
 	"ospreyslip/internal/jobs"
+	"ospreyslip/internal/loss"
 	"ospreyslip/internal/peer"
 	"ospreyslip/internal/settings"
 	"ospreyslip/internal/state"
@@ -52,6 +53,7 @@
 	hub     *peer.Hub
 	debug   *handed
 	memory  *memoryGauge
+	losses  *lossDesk
 	born    time.Time
 	served  atomic.Int64 // when, since born, the leader last said that the state service answers it
 	heard   atomic.Int64 // when, since born, a leader was last heard of, this node included
@@ -93,6 +95,16 @@
 	})
 	n.hub = peer.NewHub(set.Node, set.Peers, w.Dial, d.TermRenew)
 	n.debug = newHanded()
+	n.losses = newLossDesk()
+	n.cache.OnLoss = n.losses.notice
+	n.keeper.Lost = func(l loss.Loss) {
+		n.cache.Suspect(time.Now().Add(d.Cancel)) // before the term ends, and with it what its leader knows
+		n.losses.notice(l)
+	}
+	n.hub.Lost = n.lostPage
+	n.hub.Noticed = func(_ string, l loss.Loss) {
+		n.gate.Noticed(loss.Loss{Kind: loss.ReportedByPeer, Key: l.Key})
+	}
 	if w.Memory == nil {
 		w.Memory = heldBytes
 	}
@@ -104,6 +116,7 @@
 			return
 		}
 		n.counts.Replace(p.Counts)
+		n.leaderIsUnsure(p.Uncertain)
 		n.heard.Store(time.Since(n.born).Nanoseconds())
 		if p.Served {
 			n.served.Store(time.Since(n.born).Nanoseconds())
@@ -179,12 +192,15 @@
 	deps := control.Deps{
 		Settings: n.set, Derived: n.d, Store: n.store, Cloud: n.cloud,
 		Workers: n.workers, Valid: n.keeper.Valid, Promised: n.keeper.Promised, Raised: n.keeper.Raised, Publish: n.publish, Catalog: n.types, Counts: n.counts,
+		Cache: n.cache, Peers: n.hub, Node: n.set.Node,
 	}
 	var duties sync.WaitGroup
 	duties.Go(func() { n.hub.Run(ctx, cluster) })
 	duties.Go(func() { n.serveDebug(ctx) })
 	duties.Go(func() { n.keepCatalog(ctx) })
 	duties.Go(func() { n.cache.Run(ctx) })
+	duties.Go(func() { n.tellLosses(ctx) })
+	duties.Go(func() { n.cache.Audit(ctx, n.d.Audit, n.d.AuditPause) })
 	duties.Go(func() { n.memory.watch(ctx, n.d.TermRenew) })
 	duties.Go(func() {
 		n.keeper.Run(ctx, func(ctx context.Context, t term.Term) {
@@ -232,7 +248,7 @@
 
 func (n *Node) publish(counts map[string]jobs.Counts) {
 	n.heard.Store(time.Since(n.born).Nanoseconds())
-	n.hub.Publish(peer.Progress{Counts: counts, Served: !n.store.Failing()})
+	n.hub.Publish(peer.Progress{Counts: counts, Served: !n.store.Failing(), Uncertain: n.gate.Uncertain()})
 }
 
 // ready tells whether this node can take requests. One that the state service
--- /dev/null
+++ b/internal/node/recovery.go
@@ -0,0 +1,200 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"ospreyslip/internal/control"
+	"ospreyslip/internal/jobs"
+	"ospreyslip/internal/loss"
+	"ospreyslip/internal/peer"
+	"ospreyslip/internal/recovery"
+)
+
+// lossQueue is how much evidence waits to be handed on. More tells nothing new.
+const lossQueue = 64
+
+// lossDesk hands evidence of lost records to the leader, and answers the leader's
+// questions for what this node knows.
+type lossDesk struct {
+	noticed chan loss.Loss
+	told    time.Time   // when the leader was last told, owned by the duty
+	unsure  atomic.Bool // the leader says that records are being compared
+
+	mu     sync.Mutex
+	round  uint64 // of comparison, the last that was asked about
+	ticket uint64 // of this node's own comparison in it
+}
+
+func newLossDesk() *lossDesk { return &lossDesk{noticed: make(chan loss.Loss, lossQueue)} }
+
+// notice takes in evidence. It is called in the midst of other duties and never waits.
+func (d *lossDesk) notice(l loss.Loss) {
+	select {
+	case d.noticed <- l:
+	default:
+	}
+}
+
+// tellLosses hands evidence on until the context ends.
+func (n *Node) tellLosses(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case l := <-n.losses.noticed:
+			n.tellLoss(l)
+		}
+	}
+}
+
+// tellLoss hands evidence to the leader, here or elsewhere. Another is told once in a
+// while only: it compares all records anyway.
+func (n *Node) tellLoss(l loss.Loss) {
+	if n.gate.Noticed(l) {
+		return
+	}
+	n.cache.Suspect(time.Now().Add(n.d.Cancel))
+	leader := n.keeper.Leader()
+	if leader == "" || leader == n.set.Node || time.Since(n.losses.told) < n.d.TermLease {
+		return
+	}
+	n.losses.told = time.Now()
+	n.hub.NotifyLoss(leader, l)
+}
+
+// lostPage answers the leader's question for jobs of which this node knows more than the
+// state service. In a new round, all records are compared with that first.
+func (n *Node) lostPage(round uint64, after string) peer.LostPage {
+	n.losses.mu.Lock()
+	if n.losses.round != round {
+		n.losses.round, n.losses.ticket = round, n.cache.Verify()
+	}
+	ticket := n.losses.ticket
+	n.losses.mu.Unlock()
+	if !n.cache.Verified(ticket) {
+		return peer.LostPage{}
+	}
+	lost, more := n.cache.Lost(after, lostRows)
+	page := peer.LostPage{Ready: true, More: more}
+	for _, l := range lost {
+		page.Jobs = append(page.Jobs, peer.LostJob{ID: l.ID, State: l.State, Tasks: l.Tasks, Record: n.gate.Kept(l.ID)})
+	}
+	return page
+}
+
+// lostRows is how many lost jobs are in one answer to the leader.
+const lostRows = 500
+
+// leaderIsUnsure takes in whether the leader is comparing records.
+func (n *Node) leaderIsUnsure(unsure bool) {
+	was := n.losses.unsure.Swap(unsure)
+	switch {
+	case unsure:
+		n.cache.Suspect(time.Now().Add(n.d.Cancel))
+	case was || !n.cache.SawAll():
+		n.cache.Compared()
+		n.gate.ForgetKept()
+	}
+}
+
+// recoveryHandlers serve operators: the state of a recovery, parts of a snapshot, and
+// decisions about held jobs.
+func (n *Node) recoveryHandlers(mux *http.ServeMux) {
+	mux.HandleFunc("GET /recovery", n.showRecovery)
+	mux.HandleFunc("POST /recovery/import", n.importSnapshot)
+	mux.HandleFunc("POST /recovery/settle", n.settle)
+}
+
+func (n *Node) showRecovery(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), n.d.UserWait)
+	defer cancel()
+	status, err := n.gate.Recovery(ctx)
+	if errors.Is(err, control.ErrNotLeading) {
+		writeJSON(w, http.StatusMisdirectedRequest, control.RecoveryStatus{Following: n.keeper.Leader()})
+		return
+	}
+	if err != nil {
+		writeError(w, http.StatusServiceUnavailable, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, status)
+}
+
+// mostImport bounds what one request may make this node hold in memory.
+const mostImport = 1 << 20
+
+func (n *Node) importSnapshot(w http.ResponseWriter, r *http.Request) {
+	var in control.Import
+	if !readJSON(w, r, &in) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), n.d.UserWait)
+	defer cancel()
+	count, err := n.gate.Import(ctx, in)
+	if err != nil {
+		writeError(w, statusOf(err), err)
+		return
+	}
+	writeJSON(w, http.StatusOK, count)
+}
+
+// Settle is an operator's decision about a held job.
+type Settle struct {
+	Job string              `json:"job"`
+	As  recovery.Settlement `json:"as"`
+}
+
+func (n *Node) settle(w http.ResponseWriter, r *http.Request) {
+	var in Settle
+	if !readJSON(w, r, &in) {
+		return
+	}
+	if !jobs.ValidID(in.Job) {
+		writeError(w, http.StatusBadRequest, errors.New("job must be of the form j-000412"))
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), n.d.UserWait)
+	defer cancel()
+	if err := n.gate.Settle(ctx, in.Job, in.As); err != nil {
+		writeError(w, statusOf(err), err)
+		return
+	}
+	writeJSON(w, http.StatusOK, in)
+}
+
+// statusOf is the status for an error of the leader.
+func statusOf(err error) int {
+	switch {
+	case errors.Is(err, control.ErrNotLeading):
+		return http.StatusMisdirectedRequest
+	case errors.Is(err, control.ErrNotHeld):
+		return http.StatusNotFound
+	case errors.Is(err, recovery.ErrRefused):
+		return http.StatusConflict
+	}
+	return http.StatusServiceUnavailable
+}
+
+func readJSON(w http.ResponseWriter, r *http.Request, into any) bool {
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, mostImport)).Decode(into); err != nil {
+		writeError(w, http.StatusBadRequest, err)
+		return false
+	}
+	return true
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func writeError(w http.ResponseWriter, status int, err error) {
+	writeJSON(w, status, map[string]string{"error": err.Error()})
+}
--- /dev/null
+++ b/internal/node/recovery_test.go
@@ -0,0 +1,335 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"ospreyslip/internal/control"
+	"ospreyslip/internal/jobs"
+	"ospreyslip/internal/recovery"
+	"ospreyslip/internal/settings"
+	"ospreyslip/internal/standin"
+)
+
+// The state service loses records while controllers and machines work. The stand-in judges
+// all rules: no job is forgotten, none that is over runs again or is called otherwise, no
+// task runs twice. What is asserted here is that the records are whole again, and that
+// nothing was begun or stopped that need not have been.
+
+// recoveryOf returns the leader's word on the recovery.
+func (c *cluster) recoveryOf() control.RecoveryStatus {
+	for _, name := range c.names {
+		if c.nodes[name].ended() {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(c.ctx, time.Second)
+		s, err := c.nodes[name].node.gate.Recovery(ctx)
+		cancel()
+		if err == nil {
+			return s
+		}
+	}
+	return control.RecoveryStatus{}
+}
+
+// withinWhole waits until the leader says that nothing is missing any more.
+func (c *cluster) withinWhole(d time.Duration) {
+	c.t.Helper()
+	c.within(d, "records whole", func() bool {
+		return c.recoveryOf().Phase == control.Whole && c.world.State.Value(jobs.RecoveryStatusKey) == nil
+	})
+}
+
+// hasRecords checks that jobs have records again, in a state.
+func (c *cluster) hasRecords(state string, ids ...string) {
+	c.t.Helper()
+	for _, id := range ids {
+		var rec jobs.Record
+		if err := json.Unmarshal(c.world.State.Value("job/"+id), &rec); err != nil || rec.State != state {
+			c.t.Errorf("record of %s: %+v, %v; want %s", id, rec, err, state)
+		}
+	}
+}
+
+// showsEverywhere checks what every node says of a job.
+func (c *cluster) showsEverywhere(id string, want ...string) {
+	c.t.Helper()
+	for _, n := range c.names {
+		status, view := c.ask("GET", n, "/v1/jobs/"+id, nil)
+		got := fmt.Sprint(status)
+		if status == http.StatusOK {
+			got = view["stance"].(string)
+		}
+		if !strings.Contains(strings.Join(want, " "), got) {
+			c.t.Errorf("%s says of %s: %s, want %v", n, id, got, want)
+		}
+	}
+}
+
+// fill runs a job of each kind: a service and an array that run, one that is done and one
+// that is cancelled.
+func (c *cluster) fill() {
+	c.t.Helper()
+	c.submit("perch-0", service("j-1", 2))
+	c.submit("perch-1", batch("j-2", 4, 400))
+	c.submit("perch-2", batch("j-3", 2, 5))
+	c.submit("perch-0", batch("j-4", 2, 400))
+	c.within(60*time.Second, "running", func() bool { return c.on("j-1", 2) == 2 && c.on("j-2", 4) == 4 })
+	c.withinDone(60*time.Second, "j-3")
+	c.withdraw("perch-1", "j-4")
+	c.within(30*time.Second, "cancelled tasks gone", func() bool { return c.on("j-4", 2) == 0 })
+	c.run(20 * time.Second) // all caches have it
+}
+
+// undisturbed checks that what ran goes on, on the machines on which it ran, while do is
+// done and for some time after it.
+func (c *cluster) undisturbed(do func()) {
+	c.t.Helper()
+	starts := c.world.Starts()
+	do()
+	c.run(time.Minute)
+	if n := c.world.Starts() - starts; n > 0 || c.on("j-1", 2) != 2 || c.on("j-2", 4) != 4 {
+		c.t.Errorf("%d tasks began; of the service %d of 2 run, of the array %d of 4", n, c.on("j-1", 2), c.on("j-2", 4))
+	}
+}
+
+// Records are lost one by one, all of jobs, or everything; with a trace in the watch or
+// without one. The caches and the leader know enough to write all of them again.
+func TestRecordsLostAndWrittenAgain(t *testing.T) {
+	for name, lost := range map[string]func(string) bool{
+		"one unfinished": standin.Only("job/j-2"),
+		"one done":       standin.Only("job/j-3"),
+		"one cancelled":  standin.Only("job/j-4"),
+		"all jobs":       standin.WithPrefix("job/"),
+		"the log":        standin.WithPrefix("book/"),
+		"everything":     standin.WithPrefix(""),
+	} {
+		for _, silently := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, silently %v", name, silently), func(t *testing.T) {
+				// Without a trace, only an audit finds out.
+				inCluster(t, audited(20), func(c *cluster) {
+					c.fill()
+					c.undisturbed(func() {
+						c.world.State.Lose(silently, lost)
+						c.run(2 * time.Second)
+						c.showsEverywhere("j-1", jobs.Running, jobs.Queued, "503")
+						c.showsEverywhere("j-3", jobs.Done, "503")
+						c.showsEverywhere("j-4", jobs.Cancelled, "503")
+						c.run(80 * time.Second)
+						c.withinWhole(3 * time.Minute)
+					})
+					c.hasRecords(jobs.Queued, "j-1", "j-2")
+					c.hasRecords(jobs.Done, "j-3")
+					c.hasRecords(jobs.Cancelled, "j-4")
+					c.submit("perch-1", batch("j-9", 1, 5))
+					c.withinDone(time.Minute, "j-9")
+					c.showsEverywhere("j-77", "404")
+					for range 3 { // and it outlasts whoever knew
+						c.nextLeader()
+						c.run(25 * time.Second)
+					}
+					if n := c.on("j-1", 2) + c.on("j-2", 4); n != 6 {
+						t.Errorf("%d of 6 tasks run under later leaders", n)
+					}
+				})
+			})
+		}
+	}
+}
+
+// audited has all records compared so often.
+func audited(seconds float64) func(*settings.Settings) {
+	return func(s *settings.Settings) { s.Operator.AuditS = seconds }
+}
+
+// The service is put back to before a job was done, another cancelled, and a third
+// accepted. None of it is taken back.
+func TestServicePutBack(t *testing.T) {
+	inCluster(t, nil, func(c *cluster) {
+		c.submit("perch-0", service("j-1", 2))
+		c.submit("perch-1", batch("j-2", 4, 400))
+		c.submit("perch-0", batch("j-3", 2, 15))
+		c.submit("perch-0", batch("j-4", 2, 400))
+		c.within(60*time.Second, "running", func() bool { return c.on("j-1", 2)+c.on("j-2", 4)+c.on("j-3", 2)+c.on("j-4", 2) == 10 })
+		before := c.world.State.Backup()
+		c.withinDone(60*time.Second, "j-3")
+		c.withdraw("perch-1", "j-4")
+		c.submit("perch-2", batch("j-5", 2, 400))
+		c.within(60*time.Second, "running", func() bool { return c.on("j-5", 2) == 2 })
+		c.run(10 * time.Second)
+		c.undisturbed(func() {
+			c.world.State.Restore(before)
+			c.run(5 * time.Second)
+			c.showsEverywhere("j-3", jobs.Done, "503")
+			c.showsEverywhere("j-4", jobs.Cancelled, "503")
+			c.showsEverywhere("j-5", jobs.Running, jobs.Queued, "503")
+			c.withinWhole(3 * time.Minute)
+		})
+		c.hasRecords(jobs.Done, "j-3")
+		c.hasRecords(jobs.Cancelled, "j-4")
+		c.hasRecords(jobs.Queued, "j-1", "j-2", "j-5")
+		c.nextLeader()
+		c.run(time.Minute)
+		if n := c.on("j-5", 2) + c.on("j-2", 4); n != 6 {
+			t.Errorf("%d of 6 tasks run under the next leader", n)
+		}
+	})
+}
+
+// Segments of the assignment log are lost, and the leader ends before it can write them
+// again. The next one adopts what workers show, and begins nothing twice.
+func TestLogLostAndLeaderEnds(t *testing.T) {
+	for name, lost := range map[string]func(string) bool{
+		"a segment":   standin.Only("book/0"),
+		"some":        func(key string) bool { return strings.HasPrefix(key, "book/") && key != "book/1" },
+		"the records": standin.WithPrefix("job/"),
+		"both":        func(key string) bool { return !strings.HasPrefix(key, "term/") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			inCluster(t, nil, func(c *cluster) {
+				c.fill()
+				c.undisturbed(func() {
+					old := c.leader()
+					c.crash(old)
+					c.world.State.Lose(true, lost)
+					c.within(15*time.Second, "another leader", func() bool { l := c.leader(); return l != "" && l != old })
+					c.run(5 * time.Second)
+					c.start(old)
+					c.withinWhole(5 * time.Minute)
+				})
+				if s := c.recoveryOf(); len(s.Evidence) == 0 {
+					t.Error("nothing was noticed")
+				}
+				c.hasRecords(jobs.Done, "j-3")
+				c.hasRecords(jobs.Cancelled, "j-4")
+				c.run(30 * time.Second)
+				c.nextLeader()
+				c.run(time.Minute)
+				if n := c.on("j-1", 2) + c.on("j-2", 4); n != 6 {
+					t.Errorf("%d of 6 tasks run under the leader after that", n)
+				}
+			})
+		})
+	}
+}
+
+// All controllers end, all records are lost, and they come back: only the workers know
+// anything. Nothing is stopped, nothing they show is forgotten, and the next repeated
+// submission brings each job back; what nobody shows is an operator's to decide.
+func TestAllControllersEndAndEverythingIsLost(t *testing.T) {
+	inCluster(t, nil, func(c *cluster) {
+		c.fill()
+		starts := c.world.Starts()
+		c.crash(c.names...)
+		c.world.State.Lose(true, standin.WithPrefix(""))
+		c.run(time.Second)
+		for _, n := range c.names {
+			c.start(n)
+		}
+		c.within(time.Minute, "the loss is noticed", func() bool { return len(c.recoveryOf().Evidence) > 0 })
+		c.within(2*time.Minute, "what workers show is held", func() bool { return c.recoveryOf().Held == 4 })
+		c.withinWhole(2 * time.Minute)
+		c.showsEverywhere("j-1", jobs.Queued, jobs.Running)
+		c.showsEverywhere("j-2", jobs.Queued, jobs.Running)
+		if n := c.on("j-1", 2) + c.on("j-2", 4); n != 6 || c.world.Starts() != starts {
+			t.Errorf("%d of 6 tasks run on, %d began", n, c.world.Starts()-starts)
+		}
+		if err := c.settle("j-2", recovery.SettleRun); err == nil {
+			t.Error("a job without a description was let run")
+		}
+		if err := c.settle("j-2", recovery.SettleDone); err == nil {
+			t.Error("a job that runs was called done")
+		}
+		for id, spec := range map[string]*jobs.Spec{"j-1": service("j-1", 2), "j-2": batch("j-2", 4, 400)} {
+			if status, _ := c.ask("POST", "perch-1", "/v1/jobs", asUser(spec)); status != http.StatusOK {
+				t.Errorf("%s submitted again: %d", id, status)
+			}
+		}
+		c.within(time.Minute, "described", func() bool { return c.described() == 2 })
+		for _, id := range []string{"j-1", "j-2"} {
+			if err := c.settle(id, recovery.SettleRun); err != nil {
+				t.Errorf("%s: %v", id, err)
+			}
+		}
+		c.undisturbed(func() {
+			// Tasks of the other two are listed by workers, but nobody can tell how they ended.
+			c.within(time.Minute, "no longer held", func() bool { return c.recoveryOf().Held == 2 })
+		})
+		c.nextLeader()
+		c.run(time.Minute)
+		if n := c.on("j-1", 2) + c.on("j-2", 4); n != 6 || c.world.Starts() != starts {
+			t.Errorf("under the next leader: %d of 6 tasks run on, %d began", n, c.world.Starts()-starts)
+		}
+		c.withdraw("perch-0", "j-2")
+		c.within(30*time.Second, "cancelled tasks gone", func() bool { return c.on("j-2", 4) == 0 })
+	})
+}
+
+// settle decides a held job at the leader.
+func (c *cluster) settle(id string, as recovery.Settlement) error {
+	return c.nodes[c.leader()].node.gate.Settle(c.ctx, id, as)
+}
+
+// described counts the held jobs of which the description is known.
+func (c *cluster) described() (n int) {
+	for _, h := range c.recoveryOf().HeldJobs {
+		if h.Described {
+			n++
+		}
+	}
+	return n
+}
+
+// A held job that its user cancels is off its machines in time, though no record said
+// where it was.
+func TestHeldJobIsCancelled(t *testing.T) {
+	inCluster(t, nil, func(c *cluster) {
+		c.fill()
+		c.crash(c.names...)
+		c.world.State.Lose(true, standin.WithPrefix(""))
+		for _, n := range c.names {
+			c.start(n)
+		}
+		c.within(2*time.Minute, "held", func() bool { return c.recoveryOf().Held == 4 })
+		c.withdraw("perch-2", "j-2")
+		c.within(30*time.Second, "cancelled tasks gone", func() bool { return c.on("j-2", 4) == 0 })
+		c.run(time.Minute)
+		if n := c.on("j-1", 2); n != 2 {
+			t.Errorf("%d of 2 tasks of the other job run", n)
+		}
+	})
+}
+
+// Of a gang some tasks are known, or all: all go on, or all stop and begin anew together.
+func TestGangWithoutItsRecords(t *testing.T) {
+	for _, partly := range []bool{false, true} {
+		t.Run(fmt.Sprint("partly ", partly), func(t *testing.T) {
+			inCluster(t, nil, func(c *cluster) {
+				c.submit("perch-0", gang("j-1", 3, 300))
+				c.within(60*time.Second, "running", func() bool { return c.on("j-1", 3) == 3 })
+				c.run(20 * time.Second)
+				starts := c.world.Starts()
+				old := c.leader()
+				c.crash(old)
+				c.world.State.Lose(true, standin.WithPrefix("book/"))
+				if partly {
+					c.world.Kill(c.world.On("j-1/1")[0])
+				}
+				c.within(15*time.Second, "another leader", func() bool { l := c.leader(); return l != "" && l != old })
+				c.start(old)
+				c.run(2 * time.Minute)
+				switch n, began := c.on("j-1", 3), c.world.Starts()-starts; {
+				case n != 3:
+					t.Errorf("partly %v: %d of 3 tasks run", partly, n)
+				case !partly && began > 0:
+					t.Errorf("%d tasks of a whole gang began anew", began)
+				}
+			})
+		})
+	}
+}
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -31,7 +31,7 @@
 	}
 }
 
-// debugHandler serves operators on the cluster listener. It only reads.
+// debugHandler serves operators on the cluster listener.
 func (n *Node) debugHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, r *http.Request) {
@@ -40,6 +40,7 @@
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(n.status(ctx))
 	})
+	n.recoveryHandlers(mux)
 	reg := prometheus.NewRegistry()
 	reg.MustRegister(&collector{n})
 	mux.Handle("GET /metrics", promhttp.HandlerFor(reg, promhttp.HandlerOpts{}))
@@ -64,6 +65,10 @@
 	machinesDesc  = desc("machines", "Machines by state.", "state")
 	waitingDesc   = desc("tasks_waiting", "Tasks without a machine.", "class")
 	placedDesc    = desc("tasks_placed", "Tasks that are, or may be, on a machine.", "class")
+	lostDesc      = desc("recovery_lost_jobs", "Jobs of which more is known than their records say.")
+	heldJobsDesc  = desc("recovery_held_jobs", "Jobs that are held until it is known what became of them.")
+	comparingDesc = desc("recovery_phase", "1 for the present phase of a recovery.", "phase")
+	evidenceDesc  = desc("recovery_evidence", "Evidence of lost records under this leader.", "kind")
 	teamDesc      = desc("team_cpus", "CPUs that a team's tasks take.", "team")
 )
 
@@ -86,6 +91,14 @@
 	if s.View == nil {
 		return
 	}
+	if r, err := c.n.gate.Recovery(ctx); err == nil {
+		gauge(lostDesc, float64(r.Lost))
+		gauge(heldJobsDesc, float64(r.Held))
+		gauge(comparingDesc, 1, string(r.Phase))
+		for kind, count := range r.Evidence {
+			gauge(evidenceDesc, float64(count), string(kind))
+		}
+	}
 	gauge(tokenDesc, float64(s.View.Token))
 	gauge(pictureDesc, s.View.PictureS)
 	gauge(heldDesc, flag(s.View.Held))
--- a/internal/peer/lost.go
+++ b/internal/peer/lost.go
@@ -8,6 +8,7 @@
 
 	flatbuffers "github.com/google/flatbuffers/go"
 
+	"ospreyslip/internal/loss"
 	"ospreyslip/internal/peer/wire"
 )
 
@@ -84,6 +85,17 @@
 	}
 }
 
+// NotifyLoss tells another controller what shows that records are lost. Should that not
+// arrive, the next evidence may.
+func (h *Hub) NotifyLoss(node string, l loss.Loss) {
+	if link := h.links[node]; link != nil {
+		select {
+		case link.out <- encodeLossNotice(h.self, l):
+		default:
+		}
+	}
+}
+
 // answered hands the answer to a question to who asked it.
 func (h *Hub) answered(m message) error {
 	h.mu.Lock()
@@ -167,3 +179,18 @@
 	}
 	return page, nil
 }
+
+func encodeLossNotice(from string, l loss.Loss) []byte {
+	b := flatbuffers.NewBuilder(128)
+	kind, key := b.CreateString(string(l.Kind)), b.CreateString(l.Key)
+	wire.LossNoticeStart(b)
+	wire.LossNoticeAddKind(b, kind)
+	wire.LossNoticeAddKey(b, key)
+	return finish(b, from, wire.BodyLossNotice, wire.LossNoticeEnd(b))
+}
+
+func decodeLossNotice(body flatbuffers.Table) *loss.Loss {
+	var n wire.LossNotice
+	n.Init(body.Bytes, body.Pos)
+	return &loss.Loss{Kind: loss.Kind(n.Kind()), Key: string(n.Key())}
+}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -8,6 +8,7 @@
 	flatbuffers "github.com/google/flatbuffers/go"
 
 	"ospreyslip/internal/jobs"
+	"ospreyslip/internal/loss"
 	"ospreyslip/internal/peer/wire"
 )
 
@@ -19,6 +20,7 @@
 	promise  *promise
 	lostAsk  *lostAsk
 	lostPage *lostPage
+	loss     *loss.Loss
 }
 
 // Progress is what a leader publishes.
@@ -175,6 +177,8 @@
 		m.lostAsk = &lostAsk{a.Number(), a.Round(), string(a.After())}
 	case wire.BodyLostPage:
 		m.lostPage, err = decodeLostPage(body, len(raw)/flatbuffers.SizeUOffsetT)
+	case wire.BodyLossNotice:
+		m.loss = decodeLossNotice(body)
 	default:
 		return m, fmt.Errorf("unknown kind of message %d", in.BodyType())
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"ospreyslip/internal/loss"
 	"ospreyslip/internal/settings"
 )
 
@@ -41,6 +42,9 @@
 	// state service, after one, in a round of comparison.
 	Lost func(round uint64, after string) LostPage
 
+	// Noticed takes in what another controller says of lost records.
+	Noticed func(from string, l loss.Loss)
+
 	mu      sync.Mutex
 	number  uint64
 	waiting map[uint64]chan Promise
@@ -226,6 +230,8 @@
 			_ = c.SetWriteDeadline(time.Now().Add(4 * h.retry))
 			_, err := c.Write(encodePromise(h.self, promise{m.ask.number, given}))
 			return err
+		case m.loss != nil && h.Noticed != nil:
+			h.Noticed(m.from, *m.loss)
 		case m.lostAsk != nil && h.Lost != nil:
 			page := h.Lost(m.lostAsk.round, m.lostAsk.after)
 			_ = c.SetWriteDeadline(time.Now().Add(4 * h.retry))
--- a/internal/peer/wire/Body.go
+++ b/internal/peer/wire/Body.go
@@ -7,30 +7,33 @@
 type Body byte
 
 const (
-	BodyNONE     Body = 0
-	BodyProgress Body = 1
-	BodyAsk      Body = 2
-	BodyPromise  Body = 3
-	BodyLostAsk  Body = 4
-	BodyLostPage Body = 5
+	BodyNONE       Body = 0
+	BodyProgress   Body = 1
+	BodyAsk        Body = 2
+	BodyPromise    Body = 3
+	BodyLostAsk    Body = 4
+	BodyLostPage   Body = 5
+	BodyLossNotice Body = 6
 )
 
 var EnumNamesBody = map[Body]string{
-	BodyNONE:     "NONE",
-	BodyProgress: "Progress",
-	BodyAsk:      "Ask",
-	BodyPromise:  "Promise",
-	BodyLostAsk:  "LostAsk",
-	BodyLostPage: "LostPage",
+	BodyNONE:       "NONE",
+	BodyProgress:   "Progress",
+	BodyAsk:        "Ask",
+	BodyPromise:    "Promise",
+	BodyLostAsk:    "LostAsk",
+	BodyLostPage:   "LostPage",
+	BodyLossNotice: "LossNotice",
 }
 
 var EnumValuesBody = map[string]Body{
-	"NONE":     BodyNONE,
-	"Progress": BodyProgress,
-	"Ask":      BodyAsk,
-	"Promise":  BodyPromise,
-	"LostAsk":  BodyLostAsk,
-	"LostPage": BodyLostPage,
+	"NONE":       BodyNONE,
+	"Progress":   BodyProgress,
+	"Ask":        BodyAsk,
+	"Promise":    BodyPromise,
+	"LostAsk":    BodyLostAsk,
+	"LostPage":   BodyLostPage,
+	"LossNotice": BodyLossNotice,
 }
 
 func (v Body) String() string {
--- a/internal/recovery/decide.go
+++ b/internal/recovery/decide.go
@@ -52,7 +52,8 @@
 func Decide(k Knowledge, allHeard bool) Decision {
 	switch {
 	case k.Done && k.Cancelled:
-		return Decision{Outcome: Contradictory, Rule: RuleContradiction, State: jobs.Queued, Held: true}
+		// Either way nothing of it may run; an operator may choose the other end.
+		return Decision{Outcome: Contradictory, Rule: RuleContradiction, State: jobs.Cancelled}
 	case k.Done && k.taskCount() > 0:
 		return Decision{Outcome: Recovered, Rule: RuleDone, State: jobs.Done}
 	case k.Cancelled:
@@ -85,6 +86,9 @@
 	case d.State == jobs.Cancelled:
 		rec.Spec = k.Spec // its tasks count until they are gone
 	}
+	if d.Outcome == Contradictory {
+		rec.Held = &jobs.Held{Reason: string(d.Rule), HeldMs: nowMs, Contradicts: true}
+	}
 	return rec
 }
 
--- a/internal/recovery/knowledge.go
+++ b/internal/recovery/knowledge.go
@@ -24,6 +24,7 @@
 const (
 	FromService Source = "state service"
 	FromLeader  Source = "leader"
+	FromLog     Source = "assignment log"
 )
 
 // FromCache is a controller's cache of all jobs.
--- a/internal/settings/derived.go
+++ b/internal/settings/derived.go
@@ -49,6 +49,8 @@
 	CancelsKept     int           // cancellations that each node remembers in order
 	PollGap         time.Duration // least time between two reads for users' polls
 	BeginBy         time.Duration // a job that got nothing for so long goes first
+	Audit           time.Duration // between two comparisons of all records with what is known; 0: never
+	AuditPause      time.Duration // between two pages of one
 	Lasting         time.Duration // a start counts if the task is not stopped for so long
 
 	TxnOps     int
@@ -73,6 +75,7 @@
 	flushWrites = 4.0  // a transaction of the leader comes no sooner than so many writes are to be had
 	pollShare   = 0.25 // of all reads, for users' polls
 	pollReads   = 2.0  // reads for all polls that wait at a time
+	auditShare  = 0.02 // of all reads, for each node's audit
 )
 
 // largestBegin is by when even the largest jobs must have begun, from the protocol.
@@ -140,6 +143,8 @@
 		BeginBy:     largestBegin / 2,
 		GangPeer:    seconds(or(d.Workers.GangPeerS, d.Workers.LeaseS/2)),
 		Lasting:     lasting,
+		Audit:       seconds(s.Operator.AuditS),
+		AuditPause:  seconds(1 / (auditShare * store.RPS)),
 
 		TxnOps:     store.TxnOps,
 		ValueBytes: value,
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -26,6 +26,11 @@
 	SlowBoots     float64 `json:"slowBoots"`
 	LateBoots     float64 `json:"lateBoots"`
 	DueShare      float64 `json:"dueShare"`
+	// AuditS is how often all records are compared with what a node knows; 0 is never.
+	AuditS float64 `json:"auditS"`
+	// RunUncertainAfterS is how long a job is held of which it is not certain that it is
+	// unfinished; 0 is until an operator decides.
+	RunUncertainAfterS float64 `json:"runUncertainAfterS"`
 }
 
 // DefaultOperator returns the settings that hold where the file says nothing.
--- a/internal/term/hold.go
+++ b/internal/term/hold.go
@@ -105,6 +105,9 @@
 				k.extend(o.sent)
 			case o.err == nil: // one that was sent later has been answered already
 			case errors.Is(o.err, state.ErrNoLease):
+				if k.Valid() { // renewed in time, it cannot end by itself
+					k.Lost(loss.Loss{Kind: loss.HolderLost, Key: HolderKey, Known: token})
+				}
 				return "lease ended"
 			default:
 				slog.Debug("renewal failed", "term", token, "reason", o.err)
