--- a/cmd/ospreyslip/main.go
+++ b/cmd/ospreyslip/main.go
@@ -4,13 +4,13 @@
 import (
 	"context"
 	"fmt"
-	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/spf13/cobra"
 
+	"ospreyslip/internal/logging"
 	"ospreyslip/internal/node"
 	"ospreyslip/internal/settings"
 )
@@ -42,7 +42,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if err := logTo(os.Getenv("LOG_LEVEL")); err != nil {
+			if err := logging.ToStderr(os.Getenv("LOG_LEVEL")); err != nil {
 				return err
 			}
 			set, err := load()
@@ -69,18 +69,7 @@
 			return set.Budget().Print(cmd.OutOrStdout())
 		},
 	})
-	cmd.AddCommand(statusCommand(load))
+	cmd.AddCommand(statusCommand(load), operatorCommand("snapshot", "Copy all records of the state service into a file"),
+		operatorCommand("recover", "Show and steer the recovery of records that the state service has lost"))
 	return cmd
 }
-
-func logTo(level string) error {
-	levels := map[string]slog.Level{
-		"": slog.LevelInfo, "error": slog.LevelError, "info": slog.LevelInfo, "debug": slog.LevelDebug,
-	}
-	l, ok := levels[level]
-	if !ok {
-		return fmt.Errorf("LOG_LEVEL must be error, info or debug, is %q", level)
-	}
-	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: l})))
-	return nil
-}
--- a/internal/control/recovery_operator.go
+++ b/internal/control/recovery_operator.go
@@ -154,6 +154,7 @@
 
 // Import is a part of a snapshot.
 type Import struct {
+	Cluster  string         `json:"cluster"`
 	Revision uint64         `json:"revision"` // of the snapshot
 	Jobs     []SnapshotFact `json:"jobs"`
 }
@@ -189,6 +190,10 @@
 		err error
 	}
 	out, err := call(ctx, g, func(l *Leader, now time.Time, reply func(answer)) {
+		if own := l.Settings.ClusterID(); in.Cluster != own {
+			reply(answer{err: fmt.Errorf("%w: the snapshot is of deployment %s, this is %s", recovery.ErrRefused, in.Cluster, own)})
+			return
+		}
 		if !l.Cache.Listed() {
 			reply(answer{err: ErrNotReady})
 			return
--- /dev/null
+++ b/internal/recoveryreport/report.go
@@ -0,0 +1,116 @@
+// Package recoveryreport shows the recovery of lost records as a page: what was noticed,
+// what was written back, which jobs are held and why, and a timeline.
+package recoveryreport
+
+import (
+	"bytes"
+	_ "embed"
+	"fmt"
+	"html/template"
+	"image/color"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+
+	"ospreyslip/internal/control"
+)
+
+//go:embed report.html
+var page string
+
+var pageTemplate = template.Must(template.New("report").Funcs(template.FuncMap{"since": sinceMs}).Parse(page))
+
+// Report is what the page shows.
+type Report struct {
+	Cluster  string
+	Made     time.Time
+	Status   control.RecoveryStatus
+	Timeline template.HTML
+}
+
+// Write writes the page.
+func Write(to io.Writer, cluster string, status control.RecoveryStatus, made time.Time) error {
+	timeline, err := drawTimeline(status.Events)
+	if err != nil {
+		return fmt.Errorf("timeline: %w", err)
+	}
+	return pageTemplate.Execute(to, Report{Cluster: cluster, Made: made, Status: status, Timeline: timeline})
+}
+
+func sinceMs(ms int64) string {
+	if ms == 0 {
+		return ""
+	}
+	return time.UnixMilli(ms).UTC().Format(time.DateTime)
+}
+
+// Size of the plot on the page.
+const (
+	plotWidth  = 22 * vg.Centimeter
+	plotHeight = 9 * vg.Centimeter
+)
+
+// drawTimeline plots how many steps of each kind there had been by each moment.
+func drawTimeline(events []control.RecoveryEvent) (template.HTML, error) {
+	if len(events) == 0 {
+		return "", nil
+	}
+	first := events[0].At
+	lines := map[string]plotter.XYs{}
+	for _, e := range events {
+		at := e.At.Sub(first).Seconds()
+		line := lines[e.What]
+		lines[e.What] = append(line, plotter.XY{X: at, Y: float64(len(line) + 1)})
+	}
+	p := plot.New()
+	p.X.Label.Text = "seconds since " + first.UTC().Format(time.DateTime)
+	p.Y.Label.Text = "steps"
+	p.Legend.Top, p.Legend.Left = true, true
+	p.Add(plotter.NewGrid())
+	end := events[len(events)-1].At.Sub(first).Seconds()
+	for i, what := range slices.Sorted(maps.Keys(lines)) {
+		if err := addLine(p, what, lines[what], end, plotutil.Color(i), i); err != nil {
+			return "", err
+		}
+	}
+	canvas := vgsvg.New(plotWidth, plotHeight)
+	p.Draw(draw.New(canvas))
+	var svg bytes.Buffer
+	if _, err := canvas.WriteTo(&svg); err != nil {
+		return "", err
+	}
+	// Without the XML heading, an SVG may stand in a page.
+	text := svg.String()
+	if at := strings.Index(text, "<svg"); at >= 0 {
+		text = text[at:]
+	}
+	return template.HTML(text), nil // drawn here; the library escapes texts in it
+}
+
+// addLine adds steps of one kind: a line that rises with each, and a mark at each.
+func addLine(p *plot.Plot, what string, points plotter.XYs, end float64, c color.Color, shape int) error {
+	last := points[len(points)-1]
+	line, err := plotter.NewLine(append(slices.Clone(points), plotter.XY{X: end, Y: last.Y}))
+	if err != nil {
+		return err
+	}
+	line.StepStyle = plotter.PostStep
+	line.Color = c
+	marks, err := plotter.NewScatter(points)
+	if err != nil {
+		return err
+	}
+	marks.Color, marks.Shape = c, plotutil.Shape(shape)
+	p.Add(line, marks)
+	p.Legend.Add(what, line, marks)
+	return nil
+}
--- /dev/null
+++ b/internal/recoveryreport/report_test.go
@@ -0,0 +1,62 @@
+package recoveryreport
+
+import (
+	"bytes"
+	"encoding/xml"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"ospreyslip/internal/control"
+	"ospreyslip/internal/loss"
+	"ospreyslip/internal/recovery"
+)
+
+// The page has what operators need, is well-formed, and takes no text for markup.
+func TestReport(t *testing.T) {
+	at := time.Date(2026, 12, 2, 9, 0, 0, 0, time.UTC)
+	status := control.RecoveryStatus{
+		Phase: control.Whole, Since: at, Held: 1,
+		Evidence: map[loss.Kind]int{loss.RecordMissing: 3},
+		Written:  map[recovery.Outcome]int{recovery.Recovered: 2, recovery.Uncertain: 1},
+		Peers:    []control.PeerStatus{{Node: "perch-1", Heard: true}, {Node: "perch-2", Gone: true}},
+		HeldJobs: []control.HeldStatus{{Job: "j-7", Why: "<script>alert(1)</script>", Said: []string{"worker m-1: running"}, SinceMs: at.UnixMilli()}},
+	}
+	for i := range 40 {
+		status.Events = append(status.Events, control.RecoveryEvent{At: at.Add(time.Duration(i) * time.Second), What: []string{"evidence", "recovered", "uncertain"}[i%3], Of: "j-1"})
+	}
+	var page bytes.Buffer
+	if err := Write(&page, "abc", status, at); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"record missing", "perch-2", "taken for gone", "j-7", "worker m-1: running", "<svg", "09:00:39.000"} {
+		if !strings.Contains(page.String(), want) {
+			t.Errorf("not on the page: %s", want)
+		}
+	}
+	if strings.Contains(page.String(), "<script") {
+		t.Error("a text is taken for markup")
+	}
+	_, drawn, _ := strings.Cut(page.String(), "<svg")
+	drawn, _, _ = strings.Cut(drawn, "</svg>")
+	for d := xml.NewDecoder(strings.NewReader("<svg" + drawn + "</svg>")); ; {
+		if _, err := d.Token(); errors.Is(err, io.EOF) {
+			break
+		} else if err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// Before anything has happened there is a page, too.
+func TestEmptyReport(t *testing.T) {
+	var page bytes.Buffer
+	if err := Write(&page, "abc", control.RecoveryStatus{Phase: control.Whole}, time.Unix(0, 0)); err != nil {
+		t.Fatal(err)
+	}
+	if strings.Contains(page.String(), "<svg") || !strings.Contains(page.String(), "nothing") {
+		t.Error(page.String())
+	}
+}
--- /dev/null
+++ b/internal/settings/cluster.go
@@ -0,0 +1,21 @@
+package settings
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+	"strings"
+)
+
+// ClusterID names a deployment: the same for all its controllers, another for others. It
+// is made of the names of the controllers and the address of the state service, so that it
+// survives the loss of everything stored there.
+func (s *Settings) ClusterID() string {
+	names := []string{s.Node}
+	for _, p := range s.Peers {
+		names = append(names, p.Node)
+	}
+	slices.Sort(names)
+	sum := sha256.Sum256([]byte(s.Endpoints.State + "\n" + strings.Join(names, "\n")))
+	return hex.EncodeToString(sum[:8])
+}
--- a/internal/standin/loss.go
+++ b/internal/standin/loss.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -11,13 +12,13 @@
 func (s *State) Lose(silently bool, match func(key string) bool) (lost []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !silently {
-		s.rev++
-	}
 	for _, key := range s.sorted("") {
 		if !match(key) {
 			continue
 		}
+		if !silently && len(lost) == 0 {
+			s.rev++
+		}
 		lost = append(lost, key)
 		delete(s.keys, key)
 		if !silently {
@@ -67,3 +68,12 @@
 	defer s.mu.Unlock()
 	return s.rev
 }
+
+// Values returns the revision and the value of every key.
+func (b Backup) Values() map[string]string {
+	values := map[string]string{}
+	for key, e := range b.keys {
+		values[key] = fmt.Sprintf("%d %s", e.revision, e.value)
+	}
+	return values
+}
