Recovery: an end that is concluded is told when it is written; fresh nodes wait

Cause: the leader's cache told a job done that its tasks showed to be done, while its user cancelled it elsewhere; a node that had just begun told unfinished records that had been put back.

--- a/internal/control/recovery.go
+++ b/internal/control/recovery.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"ospreyslip/internal/jobs"
 	"ospreyslip/internal/loss"
 	"ospreyslip/internal/peer"
 	"ospreyslip/internal/recovery"
@@ -185,7 +186,7 @@
 	l.affectsLog, l.ignorant = false, false
 	l.uncertain.Store(false)
 	for id, k := range l.knowledge {
-		l.Cache.Learn(id, recovery.Decide(k, true).State, k.TaskCount())
+		l.Cache.Learn(id, told(k), k.TaskCount())
 	}
 	l.Cache.Compared()
 	l.queueDecided()
@@ -193,6 +194,16 @@
 	l.history.add(now, "compared", fmt.Sprintf("%d jobs lost", len(l.knowledge)))
 }
 
+// told is the state of a lost job that users may be told: an end that is concluded from its
+// tasks is one only when it is written, as the job may be cancelled until then.
+func told(k recovery.Knowledge) string {
+	switch d := recovery.Decide(k, true); d.Rule {
+	case recovery.RuleDone, recovery.RuleCancelled, recovery.RuleContradiction:
+		return d.State
+	}
+	return jobs.Queued
+}
+
 // recovered ends the recovery, or begins another round if more was noticed meanwhile.
 func (l *Leader) recovered(now time.Time) {
 	if l.again {
--- a/internal/control/recovery_compare.go
+++ b/internal/control/recovery_compare.go
@@ -50,7 +50,12 @@
 	if j == nil {
 		return
 	}
-	k := recovery.Knowledge{Done: j.final, Cancelled: j.cancelled, Unfinished: !j.over(), Spec: j.spec, AtMs: j.atMs}
+	k := recovery.Knowledge{Done: j.recorded, Cancelled: j.cancelled, Unfinished: !j.over(), Spec: j.spec, AtMs: j.atMs}
+	if j.final && !j.recorded {
+		for n := range j.spec.Tasks { // its end is not written: until then it may be cancelled
+			k.TasksDone = append(k.TasksDone, n)
+		}
+	}
 	if j.endedAs != "" {
 		k = recovery.Knowledge{Done: j.endedAs == jobs.Done, Cancelled: j.endedAs == jobs.Cancelled}
 	}
--- a/internal/jobs/api.go
+++ b/internal/jobs/api.go
@@ -159,9 +159,9 @@
 		a.ifNew(ctx, w, spec.ID, func() { a.later(w, "memory is short at this node") })
 		return
 	}
-	if _, known := a.Cache.Known(spec.ID); !known && !a.Cache.MayAccept() {
+	if _, known := a.Cache.Known(spec.ID); !known && !a.Cache.Settled() {
 		// It may have been accepted, and be over, before this node began.
-		a.ifNew(ctx, w, spec.ID, func() { a.later(w, "this node does not know all jobs yet") })
+		a.ifNew(ctx, w, spec.ID, func() { a.later(w, unsettledText) })
 		return
 	}
 	rec := Record{State: Queued, Tasks: spec.Tasks, Spec: spec, AtMs: time.Now().UnixMilli()}
@@ -198,6 +198,10 @@
 	if err != nil || known == nil {
 		return false, err
 	}
+	if a.unsettled(known) {
+		a.later(w, unsettledText)
+		return true, nil
+	}
 	if known.Held != nil && known.Held.Spec == nil {
 		value := known.described(spec)
 		if len(value) <= a.Derived.ValueBytes {
@@ -213,6 +217,12 @@
 	return true, nil
 }
 
+// unsettledText is told by a node that has just begun.
+const unsettledText = "this node has just begun and does not know yet whether records are missing"
+
+// unsettled tells whether a record may say less than users were told before this node began.
+func (a *API) unsettled(rec *Record) bool { return !rec.Over() && !a.Cache.Settled() }
+
 // ifNew answers a submission of a known job with its state; what is done about a new one
 // is for the caller.
 func (a *API) ifNew(ctx context.Context, w http.ResponseWriter, id string, refuse func()) {
@@ -220,6 +230,8 @@
 	switch {
 	case err != nil:
 		a.later(w, "state service does not answer")
+	case rec != nil && a.unsettled(rec):
+		a.later(w, unsettledText)
 	case rec != nil:
 		reply(w, http.StatusOK, view{ID: id, State: a.shownState(id, rec)})
 	case !a.Cache.Sure():
@@ -262,6 +274,8 @@
 		a.later(w, "state service does not answer")
 	case !found:
 		refuse(w, http.StatusNotFound, "no such job")
+	case a.unsettled(&rec):
+		a.later(w, unsettledText)
 	default:
 		var c Counts
 		if rec.State == Done {
@@ -305,6 +319,9 @@
 		case rec.Over():
 			reply(w, http.StatusOK, view{ID: id, State: rec.State})
 			return true, nil
+		case a.unsettled(rec):
+			a.later(w, unsettledText)
+			return true, nil
 		}
 		ended := rec.Ended(Cancelled, a.Derived.ValueBytes)
 		rev, failed, err := a.Store.Commit(ctx, []state.Guard{{Key: RecordKey(id), Revision: revision}},
--- a/internal/jobs/lost.go
+++ b/internal/jobs/lost.go
@@ -273,11 +273,12 @@
 func (m *Cache) Newest() uint64 { return m.newestSeen.Load() }
 
 // Expect takes in how many jobs another node knew. The next time that this node has read
-// all changes, it must know of as many.
-func (m *Cache) Expect(jobs int) {
+// all changes, it must know of as many. While that node compares records, this one does not
+// become sure of what it knows.
+func (m *Cache) Expect(jobs int, uncertain bool) {
 	m.mu.Lock()
 	m.losses.expected = max(m.losses.expected, jobs)
-	m.losses.heard = true
+	m.losses.heard = !uncertain
 	sure := m.losses.sure
 	m.mu.Unlock()
 	if !sure {
@@ -308,9 +309,10 @@
 	return m.losses.expected, m.losses.heard
 }
 
-// MayAccept tells whether this node can tell a new job from one that was lost before it
-// began.
-func (m *Cache) MayAccept() bool {
+// Settled tells whether this node has found that it began with all records there were: else
+// a job that it does not know may have been lost, and one that is unfinished by its record
+// may be over.
+func (m *Cache) Settled() bool {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	return m.losses.sure && !m.losses.compared
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -120,7 +120,7 @@
 		}
 		n.counts.Replace(p.Counts)
 		n.leaderIsUnsure(p.Uncertain)
-		n.cache.Expect(p.Known)
+		n.cache.Expect(p.Known, p.Uncertain)
 		n.heard.Store(time.Since(n.born).Nanoseconds())
 		if p.Served {
 			n.served.Store(time.Since(n.born).Nanoseconds())
@@ -262,7 +262,7 @@
 // of all it stays, since users would only find nobody, and come back later than the
 // service does.
 func (n *Node) ready() bool {
-	if !n.cache.MayAccept() && time.Since(n.born) < 2*n.d.TermLease {
+	if !n.cache.Settled() && time.Since(n.born) < 2*n.d.TermLease {
 		return false // it has just begun, and cannot tell a new job from a lost one yet
 	}
 	if !n.store.Failing() {
