Recovery: rollbacks are told to all nodes, team limits wait for what does not count yet

Cause: after a rollback a node that had not read the end of a job before told it unfinished; a team's new tasks were placed while tasks of its lost jobs were not accounted for.

--- a/internal/control/recovery.go
+++ b/internal/control/recovery.go
@@ -41,6 +41,7 @@
 type recoverer struct {
 	phase      RecoveryPhase
 	uncertain  atomic.Bool // comparing, for other goroutines
+	putBack    atomic.Bool // records may say less than users were told, for other goroutines
 	round      uint64      // of comparison
 	since      time.Time
 	affectsLog bool // tasks may run that the assignment log does not name
@@ -58,8 +59,9 @@
 	peers     map[string]*peerScan
 	workersBy time.Time // by then every worker that has tasks has reported
 
-	unwritten []string // jobs to be written back
-	recording bool     // a transaction is under way
+	ranks     map[string]writeRank // of unwritten
+	unwritten []string             // jobs to be written back
+	recording bool                 // a transaction is under way
 	recordAt  time.Time
 	marked    bool      // the status key is there
 	unmark    bool      // and is to be removed
@@ -76,7 +78,7 @@
 func newRecoverer() recoverer {
 	return recoverer{
 		phase: Whole, evidence: map[loss.Kind]int{}, knowledge: recovery.View{}, peers: map[string]*peerScan{},
-		restored: map[recovery.Outcome]int{}, held: map[string]*heldJob{}, adopting: map[*job]bool{}, strays: map[string]*stray{},
+		restored: map[recovery.Outcome]int{}, ranks: map[string]writeRank{}, held: map[string]*heldJob{}, adopting: map[*job]bool{}, strays: map[string]*stray{},
 	}
 }
 
@@ -86,6 +88,9 @@
 		slog.Error("records may be lost", "term", l.token, "evidence", e.String())
 	}
 	l.history.add(now, "evidence", e.String())
+	if e.Kind == loss.RevisionBack || e.Kind == loss.RecordOlder {
+		l.putBack.Store(true)
+	}
 	if e.Kind.AffectsLog() && l.phase != Comparing {
 		// What this leader holds is the truth: it is written once more, all of it.
 		l.log.rewrite = len(l.log.segments)
@@ -164,6 +169,9 @@
 			l.decideAll(now)
 		}
 	case Restoring:
+		if l.leastRank() > rankPutBack && !l.recording {
+			l.putBack.Store(false)
+		}
 		if len(l.unwritten) == 0 && !l.recording {
 			l.recovered(now)
 		}
@@ -211,6 +219,7 @@
 		return
 	}
 	l.phase, l.unmark = Whole, true
+	l.putBack.Store(false)
 	clear(l.knowledge)
 	clear(l.strays)
 	slog.Info("records whole", "term", l.token, "took", now.Sub(l.since).Round(time.Millisecond).String(), "held", len(l.held))
@@ -223,6 +232,13 @@
 	return l != nil && l.uncertain.Load()
 }
 
+// PutBack tells whether records may say less than users were told, as far as the leader on
+// duty here knows.
+func (g *Gate) PutBack() bool {
+	l := g.on.Load()
+	return l != nil && l.putBack.Load()
+}
+
 // Noticed hands evidence of a loss to the leader on duty, and tells whether there is one.
 func (g *Gate) Noticed(e loss.Loss) bool {
 	l := g.on.Load()
--- a/internal/control/recovery_adopt.go
+++ b/internal/control/recovery_adopt.go
@@ -27,12 +27,32 @@
 	if now.Before(j.adoptUntil) || l.asking > 0 {
 		return true
 	}
-	if l.phase != Comparing {
+	if l.phase == Whole && len(l.adopting) == 0 {
 		return false
 	}
+	if l.phase == Comparing && (l.ignorant || !l.Cache.SawAll()) {
+		return true
+	}
 	team, _ := l.Settings.Team(j.spec.Team)
-	limited := team.CPUsMax > 0 || team.GPUsMax > 0
-	return l.ignorant || !l.Cache.SawAll() || limited && now.Before(l.workersBy)
+	return (team.CPUsMax > 0 || team.GPUsMax > 0) && l.teamUncounted(team.Name, now)
+}
+
+// teamUncounted tells whether a team may have tasks that do not count yet: while records are
+// compared early in a term, until lost jobs are written back, and until their tasks have
+// been heard of.
+func (l *Leader) teamUncounted(team string, now time.Time) bool {
+	switch {
+	case l.phase == Comparing && now.Before(l.workersBy):
+		return true
+	case l.phase == Restoring && l.leastRank() <= rankToRun && len(l.unwritten) > 0:
+		return true
+	}
+	for j := range l.adopting {
+		if j.spec.Team == team {
+			return true
+		}
+	}
+	return false
 }
 
 // countHeld adds what tasks of held jobs take, as far as these are described: they run on,
--- a/internal/control/recovery_write.go
+++ b/internal/control/recovery_write.go
@@ -22,26 +22,46 @@
 // leaderWriteShare is the part of all writes that the leader has, as node parts them.
 const leaderWriteShare = 0.64
 
-// writeOrder is in which order lost jobs are written back: what must not run first, then
-// what waits to run, then what is over by itself.
-func writeOrder(d recovery.Decision) int {
+// writeRank orders lost jobs for writing: first those of which a record says less than users
+// were told, as each node would tell it; then what must not run, what waits to run, and what
+// is over by itself.
+type writeRank int
+
+const (
+	rankPutBack writeRank = iota
+	rankCancelled
+	rankToRun
+	rankOver
+)
+
+func (l *Leader) rankOf(id string, d recovery.Decision) writeRank {
 	switch {
+	case d.Final() && l.Cache.RecordRevision(id) != 0:
+		return rankPutBack
 	case d.State == jobs.Cancelled:
-		return 0
+		return rankCancelled
 	case !d.Final():
-		return 1
+		return rankToRun
 	}
-	return 2
+	return rankOver
 }
 
 // queueDecided queues all jobs of the view for their records to be written.
 func (l *Leader) queueDecided() {
 	l.unwritten = l.knowledge.IDs()
-	order := make(map[string]int, len(l.unwritten))
+	clear(l.ranks)
 	for _, id := range l.unwritten {
-		order[id] = writeOrder(recovery.Decide(l.knowledge[id], true))
+		l.ranks[id] = l.rankOf(id, recovery.Decide(l.knowledge[id], true))
+	}
+	slices.SortStableFunc(l.unwritten, func(a, b string) int { return cmp.Compare(l.ranks[a], l.ranks[b]) })
+}
+
+// leastRank is the rank of what is to be written next.
+func (l *Leader) leastRank() writeRank {
+	if len(l.unwritten) == 0 {
+		return rankOver
 	}
-	slices.SortStableFunc(l.unwritten, func(a, b string) int { return cmp.Compare(order[a], order[b]) })
+	return l.ranks[l.unwritten[0]]
 }
 
 // lostRecord is a record that is being written back.
--- a/internal/jobs/lost.go
+++ b/internal/jobs/lost.go
@@ -41,6 +41,7 @@
 	wanted       uint64 // comparisons asked for
 	expected     int    // jobs that another node knew
 	told         int    // of expected, when that was last missed
+	putBack      bool   // records may say less than users were told
 	heard        bool   // another node has told how much it knows
 	sure         bool   // since then, all was read: what is not known was never accepted
 	verified     uint64 // comparisons made
@@ -315,7 +316,14 @@
 func (m *Cache) Settled() bool {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	return m.losses.sure && !m.losses.compared
+	return m.losses.sure && !m.losses.compared && !m.losses.putBack
+}
+
+// PutBack takes in whether records may say less than users were told, as the leader knows.
+func (m *Cache) PutBack(on bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.losses.putBack = on
 }
 
 // BeSure has this node take what it does not know for never accepted, though no other node
@@ -339,6 +347,7 @@
 	m.whole = false
 	m.mu.Lock()
 	m.jobs.forgetRevisions(found)
+	m.losses.putBack = true // until the leader says that it is made good
 	m.mu.Unlock()
 	m.tell(l)
 	return true
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -119,7 +119,7 @@
 			return
 		}
 		n.counts.Replace(p.Counts)
-		n.leaderIsUnsure(p.Uncertain)
+		n.leaderIsUnsure(p.Uncertain, p.PutBack)
 		n.cache.Expect(p.Known, p.Uncertain)
 		n.heard.Store(time.Since(n.born).Nanoseconds())
 		if p.Served {
@@ -253,7 +253,8 @@
 
 func (n *Node) publish(counts map[string]jobs.Counts) {
 	n.heard.Store(time.Since(n.born).Nanoseconds())
-	n.hub.Publish(peer.Progress{Counts: counts, Served: !n.store.Failing(), Uncertain: n.gate.Uncertain(), Known: n.cache.Jobs()})
+	n.cache.PutBack(n.gate.PutBack())
+	n.hub.Publish(peer.Progress{Counts: counts, Served: !n.store.Failing(), Uncertain: n.gate.Uncertain(), PutBack: n.gate.PutBack(), Known: n.cache.Jobs()})
 }
 
 // ready tells whether this node can take requests. One that the state service
--- a/internal/node/recovery.go
+++ b/internal/node/recovery.go
@@ -96,7 +96,8 @@
 const lostRows = 500
 
 // leaderIsUnsure takes in whether the leader is comparing records.
-func (n *Node) leaderIsUnsure(unsure bool) {
+func (n *Node) leaderIsUnsure(unsure, putBack bool) {
+	n.cache.PutBack(putBack)
 	was := n.losses.unsure.Swap(unsure)
 	switch {
 	case unsure:
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -29,7 +29,8 @@
 	Served bool // the state service answers the leader
 	// Uncertain tells that records may be lost, and are being compared.
 	Uncertain bool
-	Known     int // jobs that the leader knows
+	Known     int  // jobs that the leader knows
+	PutBack   bool // records may say less than users were told
 }
 
 type ask struct {
@@ -85,6 +86,7 @@
 	wire.ProgressAddServed(b, p.Served)
 	wire.ProgressAddUncertain(b, p.Uncertain)
 	wire.ProgressAddKnown(b, uint64(max(0, p.Known)))
+	wire.ProgressAddPutBack(b, p.PutBack)
 	return finish(b, from, wire.BodyProgress, wire.ProgressEnd(b))
 }
 
@@ -149,7 +151,7 @@
 		if p.JobsLength() > len(raw)/flatbuffers.SizeUOffsetT {
 			return m, errTooManyRows
 		}
-		m.progress = &Progress{Counts: make(map[string]jobs.Counts, p.JobsLength()), Served: p.Served(), Uncertain: p.Uncertain(), Known: int(p.Known())}
+		m.progress = &Progress{Counts: make(map[string]jobs.Counts, p.JobsLength()), Served: p.Served(), Uncertain: p.Uncertain(), Known: int(p.Known()), PutBack: p.PutBack()}
 		var row wire.JobCounts
 		for i := range p.JobsLength() {
 			if p.Jobs(&row, i) {
--- a/internal/peer/wire/Progress.go
+++ b/internal/peer/wire/Progress.go
@@ -89,8 +89,20 @@
 	return rcv._tab.MutateUint64Slot(10, n)
 }
 
+func (rcv *Progress) PutBack() bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(12))
+	if o != 0 {
+		return rcv._tab.GetBool(o + rcv._tab.Pos)
+	}
+	return false
+}
+
+func (rcv *Progress) MutatePutBack(n bool) bool {
+	return rcv._tab.MutateBoolSlot(12, n)
+}
+
 func ProgressStart(builder *flatbuffers.Builder) {
-	builder.StartObject(4)
+	builder.StartObject(5)
 }
 func ProgressAddJobs(builder *flatbuffers.Builder, jobs flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(jobs), 0)
@@ -107,6 +119,9 @@
 func ProgressAddKnown(builder *flatbuffers.Builder, known uint64) {
 	builder.PrependUint64Slot(3, known, 0)
 }
+func ProgressAddPutBack(builder *flatbuffers.Builder, putBack bool) {
+	builder.PrependBoolSlot(4, putBack, false)
+}
 func ProgressEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
