A node that has just begun finds out at once whether it began with all records

Cause: a start waited for the leader's word or cancel_s, so that a new cluster refused jobs for seconds; questions carried revisions that were stale. Now it asks all others at once how much they know, and a reading begun after that must have as many.

--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -16,7 +16,7 @@
 // can change them any more; users can, and the watch starts where load began.
 func (l *Leader) load(ctx context.Context) (after uint64, err error) {
 	now := time.Now()
-	l.viewTime = now
+	l.viewTime, l.fresh = now, !l.Cache.Settled()
 	segments, _, err := l.Store.List(ctx, logPrefix)
 	if err != nil {
 		return 0, err
@@ -80,7 +80,6 @@
 	l.raisedAt = now
 	l.listSyncAt = now.Add(2 * l.Derived.ListLag)
 	l.seen.Store(after)
-	l.askPeers(ctx, listed, after, now)
 	slog.Info("records read", "term", l.token, "jobs", len(l.jobs), "ended", over, "machines", len(l.machines.all))
 	return after, nil
 }
--- a/internal/control/recovery.go
+++ b/internal/control/recovery.go
@@ -45,8 +45,7 @@
 	round      uint64      // of comparison
 	since      time.Time
 	affectsLog bool // tasks may run that the assignment log does not name
-	asking     int  // peers that this leader, whose node has just begun, still waits for
-	askedAt    time.Time
+	fresh      bool // this node has just begun: others may know more
 	ignorant   bool // this node knows less than some worker
 	again      bool // more was noticed meanwhile
 	evidence   map[loss.Kind]int
@@ -99,7 +98,7 @@
 	switch {
 	case e.Kind == loss.TaskUnknown || e.Kind == loss.TokenBack:
 		l.distrustRecords(now)
-	case e.Kind.AffectsLog() || e.Kind == loss.ReportedByPeer:
+	case l.fresh || e.Kind.AffectsLog() || e.Kind == loss.ReportedByPeer:
 		l.expectAllTasks(now)
 	}
 	if l.phase != Whole {
@@ -176,7 +175,7 @@
 			l.recovered(now)
 		}
 	case Whole:
-		l.endQuestions(now)
+		l.endSettling(now)
 		l.removeStatus(ctx, now)
 		l.writeLogSize(ctx, now)
 	}
--- a/internal/control/recovery_adopt.go
+++ b/internal/control/recovery_adopt.go
@@ -24,7 +24,7 @@
 // whether its team may: then it could come over its limit. A node that began after a loss
 // does not know which jobs are new: it places none before all have been compared.
 func (l *Leader) awaitsWorkers(j *job, now time.Time) bool {
-	if now.Before(j.adoptUntil) || l.asking > 0 {
+	if now.Before(j.adoptUntil) || l.settling(now) {
 		return true
 	}
 	if l.phase == Whole && len(l.adopting) == 0 {
--- a/internal/control/recovery_compare.go
+++ b/internal/control/recovery_compare.go
@@ -157,42 +157,23 @@
 	return true
 }
 
-// askPeers asks what the others have noticed, for a leader whose node has just begun: the
-// records may lack what it has never seen. The answers come within milliseconds; those of
-// an earlier version do not come, and are not waited for long.
-func (l *Leader) askPeers(ctx context.Context, listed int, revision uint64, now time.Time) {
-	if l.Cache.Sure() || l.phase != Whole {
-		return
-	}
-	l.askedAt = now
-	for _, name := range l.Peers.Peers() {
-		l.asking++
-		go func() {
-			try, cancel := context.WithTimeout(ctx, mostAsking(l.Derived))
-			defer cancel()
-			page, err := l.Peers.AskLost(try, name, peer.Question{Revision: revision})
-			l.post(ctx, func(now time.Time) {
-				l.asking = max(0, l.asking-1)
-				if err == nil && (page.Noticed || page.Known > listed) {
-					l.suspect(loss.Loss{Kind: loss.ReportedByPeer, Known: uint64(page.Known), Found: uint64(listed)}, now)
-				}
-			})
-		}()
-	}
-}
+// mostSettling is how long a leader whose node has just begun places nothing, while that
+// finds out whether the others know more than the records say. Answers come within
+// milliseconds; those of an earlier version do not come.
+func mostSettling(d settings.Derived) time.Duration { return 2 * d.TermRenew }
 
-// mostAsking is how long a leader whose node has just begun waits for the others' answers.
-func mostAsking(d settings.Derived) time.Duration { return 2 * d.TermRenew }
+// settling tells whether this leader still waits for that.
+func (l *Leader) settling(now time.Time) bool {
+	return l.fresh && !l.Cache.Settled() && now.Sub(l.term.Since) < mostSettling(l.Derived)
+}
 
-// endQuestions ends the wait, whoever has not answered.
-func (l *Leader) endQuestions(now time.Time) {
-	if l.asking > 0 && now.Sub(l.askedAt) > mostAsking(l.Derived) {
-		l.asking = 0
+// endSettling ends the wait: nobody leads who could know more.
+func (l *Leader) endSettling(now time.Time) {
+	if l.fresh && !l.settling(now) {
+		l.fresh = false
+		l.Cache.BeSure()
 		l.replan = true
 	}
-	if l.asking == 0 {
-		l.Cache.BeSure() // nobody leads who could know more
-	}
 }
 
 // recoveryStatus is what a leader leaves for the next one, and for nodes that start, while
--- a/internal/jobs/cache.go
+++ b/internal/jobs/cache.go
@@ -139,7 +139,7 @@
 		if err != nil {
 			slog.Debug("records not read", "reason", err)
 		}
-		if m.pending() {
+		if m.pending() || m.becomingSure() {
 			idle = m.gap
 		}
 	}
--- a/internal/jobs/lost.go
+++ b/internal/jobs/lost.go
@@ -487,6 +487,13 @@
 	return m.losses.wanted != m.losses.verified
 }
 
+// becomingSure tells whether the next reading may make this node sure of what it knows.
+func (m *Cache) becomingSure() bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.losses.heard && !m.losses.sure
+}
+
 // RecordRevision returns the revision of a job's record as this node knows it; 0 if there
 // is none.
 func (m *Cache) RecordRevision(id string) uint64 { return m.knownRevision(id) }
--- a/internal/node/recovery.go
+++ b/internal/node/recovery.go
@@ -72,8 +72,7 @@
 // state service. In a new round, all records are compared with that first.
 func (n *Node) lostPage(q peer.Question) peer.LostPage {
 	if q.Round == 0 {
-		putBack := q.Revision != 0 && q.Revision < n.cache.Newest()
-		return peer.LostPage{Ready: true, Known: n.cache.Jobs(), Noticed: putBack || n.cache.Suspected() || n.cache.LostJobs() > 0}
+		return peer.LostPage{Ready: true, Known: n.cache.Jobs(), Newest: n.cache.Newest(), Noticed: n.cache.Suspected() || n.cache.LostJobs() > 0}
 	}
 	n.losses.mu.Lock()
 	if n.losses.round != q.Round {
@@ -107,18 +106,51 @@
 	}
 }
 
-// beSure has the node give up waiting to hear how much others know: when it leads itself,
-// or when nobody does for longer than most outages last.
-func (n *Node) beSure(ctx context.Context) {
-	if len(n.set.Peers) == 0 {
-		n.cache.BeSure()
-		return
+// becomeSure finds out, after a start, whether this node has begun with all records there
+// were: all other controllers are asked how many jobs they know, and a reading of the records
+// that begins after their answers must have as many. Where one does not answer, the leader's
+// word does, or in the end the time that most outages last.
+func (n *Node) becomeSure(ctx context.Context) {
+	for time.Since(n.born) < n.d.Cancel && !n.cache.Settled() {
+		if known, all := n.askOthers(ctx); all && n.cache.Listed() {
+			n.cache.Expect(known, false)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(n.d.TermRenew / 2):
+		}
 	}
-	select {
-	case <-ctx.Done():
-	case <-time.After(n.d.Cancel):
-		n.cache.BeSure()
+	n.cache.BeSure()
+}
+
+// askOthers asks all other controllers how many jobs they know, and tells whether all have
+// answered and none has noticed a loss. Should the state service be at an older revision than
+// one of them has read, it was put back.
+func (n *Node) askOthers(ctx context.Context) (known int, all bool) {
+	ctx, cancel := context.WithTimeout(ctx, n.d.TermRenew)
+	defer cancel()
+	newest := uint64(0)
+	for _, name := range n.hub.Peers() {
+		page, err := n.hub.AskLost(ctx, name, peer.Question{})
+		switch {
+		case err != nil:
+			return 0, false
+		case page.Noticed:
+			n.losses.notice(loss.Loss{Kind: loss.ReportedByPeer, Key: name})
+			return 0, false
+		}
+		known, newest = max(known, page.Known), max(newest, page.Newest)
+	}
+	now, err := n.store.Revision(ctx)
+	if err != nil {
+		return 0, false
+	}
+	if now < newest {
+		n.losses.notice(loss.Loss{Kind: loss.RevisionBack, Known: newest, Found: now})
+		return 0, false
 	}
+	return known, true
 }
 
 // recoveryHandlers serve operators: the state of a recovery, parts of a snapshot, and
--- a/internal/peer/lost.go
+++ b/internal/peer/lost.go
@@ -28,14 +28,14 @@
 	// Known is how many jobs it knows, and Noticed tells that it has noticed a loss.
 	Known   int
 	Noticed bool
+	Newest  uint64 // revision of the state service that it has read
 }
 
 // Question is the leader's, for jobs of which another controller knows more than the state
 // service.
 type Question struct {
-	Round    uint64 // of comparison; 0 asks only what the other has noticed and how much it knows
-	After    string // jobs in the order of their ids after this one
-	Revision uint64 // at which the asker's reading of the records began; 0 if it does not say
+	Round uint64 // of comparison; 0 asks only what the other has noticed and how much it knows
+	After string // jobs in the order of their ids after this one
 }
 
 type lostAsk struct {
@@ -134,7 +134,6 @@
 	wire.LostAskAddNumber(b, a.number)
 	wire.LostAskAddRound(b, a.Round)
 	wire.LostAskAddAfter(b, after)
-	wire.LostAskAddRevision(b, a.Revision)
 	return finish(b, from, wire.BodyLostAsk, wire.LostAskEnd(b))
 }
 
@@ -161,6 +160,7 @@
 	wire.LostPageAddJobs(b, vector)
 	wire.LostPageAddKnown(b, uint64(max(0, p.Known)))
 	wire.LostPageAddNoticed(b, p.Noticed)
+	wire.LostPageAddNewest(b, p.Newest)
 	return finish(b, from, wire.BodyLostPage, wire.LostPageEnd(b))
 }
 
@@ -181,7 +181,7 @@
 	if p.JobsLength() > most {
 		return nil, errTooManyRows
 	}
-	page := &lostPage{p.Number(), LostPage{Ready: p.Ready(), More: p.More(), Known: int(p.Known()), Noticed: p.Noticed()}}
+	page := &lostPage{p.Number(), LostPage{Ready: p.Ready(), More: p.More(), Known: int(p.Known()), Noticed: p.Noticed(), Newest: p.Newest()}}
 	var row wire.LostJob
 	for i := range p.JobsLength() {
 		if p.Jobs(&row, i) {
--- a/internal/peer/wire/LostAsk.go
+++ b/internal/peer/wire/LostAsk.go
@@ -65,20 +65,8 @@
 	return nil
 }
 
-func (rcv *LostAsk) Revision() uint64 {
-	o := flatbuffers.UOffsetT(rcv._tab.Offset(10))
-	if o != 0 {
-		return rcv._tab.GetUint64(o + rcv._tab.Pos)
-	}
-	return 0
-}
-
-func (rcv *LostAsk) MutateRevision(n uint64) bool {
-	return rcv._tab.MutateUint64Slot(10, n)
-}
-
 func LostAskStart(builder *flatbuffers.Builder) {
-	builder.StartObject(4)
+	builder.StartObject(3)
 }
 func LostAskAddNumber(builder *flatbuffers.Builder, number uint64) {
 	builder.PrependUint64Slot(0, number, 0)
@@ -89,9 +77,6 @@
 func LostAskAddAfter(builder *flatbuffers.Builder, after flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(2, flatbuffers.UOffsetT(after), 0)
 }
-func LostAskAddRevision(builder *flatbuffers.Builder, revision uint64) {
-	builder.PrependUint64Slot(3, revision, 0)
-}
 func LostAskEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/internal/peer/wire/LostPage.go
+++ b/internal/peer/wire/LostPage.go
@@ -113,8 +113,20 @@
 	return rcv._tab.MutateBoolSlot(14, n)
 }
 
+func (rcv *LostPage) Newest() uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(16))
+	if o != 0 {
+		return rcv._tab.GetUint64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *LostPage) MutateNewest(n uint64) bool {
+	return rcv._tab.MutateUint64Slot(16, n)
+}
+
 func LostPageStart(builder *flatbuffers.Builder) {
-	builder.StartObject(6)
+	builder.StartObject(7)
 }
 func LostPageAddNumber(builder *flatbuffers.Builder, number uint64) {
 	builder.PrependUint64Slot(0, number, 0)
@@ -137,6 +149,9 @@
 func LostPageAddNoticed(builder *flatbuffers.Builder, noticed bool) {
 	builder.PrependBoolSlot(5, noticed, false)
 }
+func LostPageAddNewest(builder *flatbuffers.Builder, newest uint64) {
+	builder.PrependUint64Slot(6, newest, 0)
+}
 func LostPageEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
