--- a/internal/node/recovery_test.go
+++ b/internal/node/recovery_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -13,7 +15,9 @@
 	"ospreyslip/internal/jobs"
 	"ospreyslip/internal/recovery"
 	"ospreyslip/internal/settings"
+	"ospreyslip/internal/snapshot"
 	"ospreyslip/internal/standin"
+	"ospreyslip/internal/state"
 )
 
 // The state service loses records while controllers and machines work. The stand-in judges
@@ -333,3 +337,171 @@
 		})
 	}
 }
+
+// snapshotNow copies all records, as the operators' command does.
+func (c *cluster) snapshotNow() *snapshot.Snapshot {
+	c.t.Helper()
+	client := state.New("10.2.0.1:1", c.world.Net.From("tool"), time.Second, state.Budget{Requests: 100})
+	s, err := snapshot.Take(c.ctx, client, c.settings(c.names[0]).ClusterID(), time.Now())
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return s
+}
+
+// importSnapshot hands a snapshot to the leader.
+func (c *cluster) importSnapshot(s *snapshot.Snapshot) (control.Imported, error) {
+	in := control.Import{Cluster: s.Manifest.Cluster, Revision: s.Manifest.Revision}
+	for _, r := range s.Records {
+		if strings.HasPrefix(r.Key, jobs.RecordPrefix) {
+			in.Jobs = append(in.Jobs, control.SnapshotFact{ID: jobs.IDOf(r.Key), Record: r.Value})
+		}
+	}
+	return c.nodes[c.leader()].node.gate.Import(c.ctx, in)
+}
+
+// All controllers end and everything is lost. A snapshot from before one job's completion,
+// another's cancellation and a third's acceptance brings back what it proves, and no more:
+// what was unfinished in it is held, but what workers show goes on running.
+func TestSnapshotOlderThanTheLoss(t *testing.T) {
+	inCluster(t, nil, func(c *cluster) {
+		c.submit("perch-0", batch("j-1", 2, 5))
+		c.submit("perch-0", batch("j-2", 2, 400))
+		c.submit("perch-0", batch("j-3", 2, 400))
+		c.withinDone(time.Minute, "j-1")
+		c.submit("perch-0", batch("j-4", 2, 25))
+		c.within(time.Minute, "running", func() bool { return c.on("j-2", 2)+c.on("j-3", 2)+c.on("j-4", 2) == 6 })
+		s := c.snapshotNow()
+		c.withinDone(time.Minute, "j-4") // after the snapshot, as is the rest
+		c.withdraw("perch-1", "j-3")
+		c.submit("perch-1", batch("j-5", 1, 400))
+		c.within(time.Minute, "running", func() bool { return c.on("j-5", 1) == 1 && c.on("j-3", 2) == 0 })
+		c.run(15 * time.Second)
+		starts := c.world.Starts()
+		c.crash(c.names...)
+		c.world.State.Lose(true, standin.WithPrefix(""))
+		for _, n := range c.names {
+			c.start(n)
+		}
+		c.within(time.Minute, "the loss is noticed", func() bool { return len(c.recoveryOf().Evidence) > 0 })
+		foreign := *s
+		foreign.Manifest.Cluster = "another"
+		if _, err := c.importSnapshot(&foreign); !errors.Is(err, recovery.ErrRefused) {
+			t.Errorf("a snapshot of another deployment: %v", err)
+		}
+		count, err := c.importSnapshot(s)
+		if err != nil || count.Missing != 4 {
+			t.Errorf("imported: %+v, %v", count, err)
+		}
+		c.within(2*time.Minute, "compared", func() bool { return len(c.world.State.Keys("job/")) == 5 })
+		c.withinWhole(2 * time.Minute)
+		// Of j-4, workers still list every task as done.
+		c.hasRecords(jobs.Done, "j-1", "j-4")
+		held := map[string]bool{}
+		for _, h := range c.recoveryOf().HeldJobs {
+			held[h.Job] = h.Described
+		}
+		if want := map[string]bool{"j-2": true, "j-3": true, "j-5": false}; fmt.Sprint(held) != fmt.Sprint(want) {
+			t.Errorf("held, and described: %v, want %v", held, want)
+		}
+		if n := c.on("j-2", 2) + c.on("j-5", 1); n != 3 || c.world.Starts() != starts {
+			t.Errorf("%d of 3 tasks run on, %d began", n, c.world.Starts()-starts)
+		}
+		// The operator knows better; finished work is not begun again by itself.
+		for id, as := range map[string]recovery.Settlement{"j-3": recovery.SettleCancelled, "j-2": recovery.SettleRun} {
+			if err := c.settle(id, as); err != nil {
+				t.Errorf("%s as %s: %v", id, as, err)
+			}
+		}
+		c.run(time.Minute)
+		c.hasRecords(jobs.Done, "j-1", "j-4")
+		c.hasRecords(jobs.Cancelled, "j-3")
+		if n := c.on("j-2", 2); n != 2 || c.world.Starts() != starts {
+			t.Errorf("%d of 2 tasks run on, %d began", n, c.world.Starts()-starts)
+		}
+		if again, err := c.importSnapshot(s); err != nil || again.Missing+again.Ended+again.Described != 0 {
+			t.Errorf("imported once more: %+v, %v", again, err)
+		}
+	})
+}
+
+// With runUncertainAfterS, an uncertain job runs after that time, if it is described.
+func TestUncertainJobRunsAfterATime(t *testing.T) {
+	inCluster(t, func(s *settings.Settings) { s.Operator.RunUncertainAfterS = 90 }, func(c *cluster) {
+		c.world.Capacity(0)
+		c.submit("perch-0", batch("j-1", 1, 10))
+		s := c.snapshotNow()
+		c.run(15 * time.Second)
+		c.crash(c.names...)
+		c.world.State.Lose(true, standin.WithPrefix(""))
+		for _, n := range c.names {
+			c.start(n)
+		}
+		c.run(10 * time.Second)
+		if _, err := c.importSnapshot(s); err != nil {
+			t.Error(err)
+		}
+		c.within(2*time.Minute, "held", func() bool { return c.recoveryOf().Held == 1 })
+		c.world.Capacity(10)
+		starts := c.world.Starts()
+		c.run(60 * time.Second)
+		if c.world.Starts() != starts {
+			t.Error("an uncertain job ran before its time")
+		}
+		c.within(4*time.Minute, "over", func() bool { return c.recoveryOf().Held == 0 && c.world.Starts() > starts })
+		c.withinDone(time.Minute, "j-1")
+	})
+}
+
+// A previous version beside this one neither answers questions nor hears of a recovery: its
+// peers go on without it, and what they write it can read.
+func TestRecoveryBesideAPeerThatCannotAnswer(t *testing.T) {
+	inCluster(t, nil, func(c *cluster) {
+		c.fill()
+		for _, n := range c.names {
+			c.nodes[n].node.hub.Lost = nil
+			c.nodes[n].node.hub.Noticed = nil
+		}
+		c.undisturbed(func() {
+			c.world.State.Lose(false, standin.WithPrefix("job/"))
+			c.withinWhole(3 * time.Minute)
+		})
+		c.hasRecords(jobs.Queued, "j-1", "j-2")
+		c.hasRecords(jobs.Done, "j-3")
+		c.hasRecords(jobs.Cancelled, "j-4")
+	})
+}
+
+// Operators are answered by the leader alone, refused what cannot be, and told why.
+func TestOperatorsRequests(t *testing.T) {
+	inCluster(t, nil, func(c *cluster) {
+		ask := func(node, method, path, body string) (int, string) {
+			rec := httptest.NewRecorder()
+			c.nodes[node].node.debugHandler().ServeHTTP(rec, httptest.NewRequest(method, path, strings.NewReader(body)))
+			return rec.Code, strings.TrimSpace(rec.Body.String())
+		}
+		leader, other := c.leader(), c.names[0]
+		if other == leader {
+			other = c.names[1]
+		}
+		for _, tc := range []struct {
+			node, method, path, body string
+			status                   int
+			says                     string
+		}{
+			{leader, "GET", "/recovery", "", http.StatusOK, `"phase":"whole"`},
+			{other, "GET", "/recovery", "", http.StatusMisdirectedRequest, leader},
+			{other, "POST", "/recovery/settle", `{"job":"j-1","as":"done"}`, http.StatusMisdirectedRequest, "does not lead"},
+			{leader, "POST", "/recovery/settle", `{"job":"j-1","as":"done"}`, http.StatusNotFound, "not held"},
+			{leader, "POST", "/recovery/settle", `{"job":"../term","as":"done"}`, http.StatusBadRequest, "form"},
+			{leader, "POST", "/recovery/settle", `{"job":`, http.StatusBadRequest, ""},
+			{leader, "POST", "/recovery/import", `{"cluster":"x"}`, http.StatusConflict, "deployment x"},
+			{leader, "POST", "/recovery/import", strings.Repeat("x", 2<<20), http.StatusBadRequest, ""},
+			{leader, "GET", "/metrics", "", http.StatusOK, `ospreyslip_recovery_phase{phase="whole"} 1`},
+		} {
+			if status, body := ask(tc.node, tc.method, tc.path, tc.body); status != tc.status || !strings.Contains(body, tc.says) {
+				t.Errorf("%s %s %.40s at %s: %d %.200s", tc.method, tc.path, tc.body, tc.node, status, body)
+			}
+		}
+	})
+}
