--- a/internal/control/recovery.go
+++ b/internal/control/recovery.go
@@ -58,15 +58,16 @@
 	peers     map[string]*peerScan
 	workersBy time.Time // by then every worker that has tasks has reported
 
-	ranks     map[string]writeRank // of unwritten
-	unwritten []string             // jobs to be written back
-	recording bool                 // a transaction is under way
-	recordAt  time.Time
-	marked    bool      // the status key is there
-	unmark    bool      // and is to be removed
-	logSize   int       // segments, by the key that says how many there are
-	logSizeAt time.Time // when that key was last written
-	restored  map[recovery.Outcome]int
+	ranks      map[string]writeRank // of unwritten
+	plainAfter string               // jobs that are over have been queued up to this one
+	unwritten  []string             // jobs to be written back
+	recording  bool                 // a transaction is under way
+	recordAt   time.Time
+	marked     bool      // the status key is there
+	unmark     bool      // and is to be removed
+	logSize    int       // segments, by the key that says how many there are
+	logSizeAt  time.Time // when that key was last written
+	restored   map[recovery.Outcome]int
 
 	held       map[string]*heldJob
 	adopting   map[*job]bool
@@ -171,7 +172,7 @@
 		if l.leastRank() > rankPutBack && !l.recording {
 			l.putBack.Store(false)
 		}
-		if len(l.unwritten) == 0 && !l.recording {
+		if len(l.unwritten) == 0 && !l.recording && !l.refill() {
 			l.recovered(now)
 		}
 	case Whole:
@@ -197,8 +198,8 @@
 	}
 	l.Cache.Compared()
 	l.queueDecided()
-	slog.Info("records compared", "term", l.token, "took", now.Sub(l.since).Round(time.Millisecond).String(), "lost", len(l.knowledge), "to write", len(l.unwritten))
-	l.history.add(now, "compared", fmt.Sprintf("%d jobs lost", len(l.knowledge)))
+	slog.Info("records compared", "term", l.token, "took", now.Sub(l.since).Round(time.Millisecond).String(), "lost", l.Cache.LostJobs(), "to decide", len(l.knowledge))
+	l.history.add(now, "compared", fmt.Sprintf("%d jobs lost", l.Cache.LostJobs()))
 }
 
 // told is the state of a lost job that users may be told: an end that is concluded from its
--- a/internal/control/recovery_compare.go
+++ b/internal/control/recovery_compare.go
@@ -38,12 +38,30 @@
 	page, more := l.Cache.Lost(l.ownAfter, lostPageRows)
 	for _, lost := range page {
 		l.ownAfter = lost.ID
+		if l.isPlain(lost) {
+			continue // it is written from the cache: see refill
+		}
 		l.learnOwn(lost.ID)
 		l.learn(lost.ID, recovery.FromCache(l.Node), lost.State, lost.Tasks, decodeRecord(l.Cache.Unfinished(lost.ID)))
 	}
 	l.ownDone = !more
 }
 
+// isPlain tells whether nothing needs to be known of a lost job but that it is over, as this
+// node's cache has it. There may be hundreds of thousands of those.
+func (l *Leader) isPlain(lost jobs.Lost) bool {
+	over := lost.State == jobs.Done || lost.State == jobs.Cancelled
+	return over && lost.Revision == 0 && l.jobs[lost.ID] == nil && l.held[lost.ID] == nil
+}
+
+// knownAlike tells whether a peer says no more of a job than this node's cache, which has it
+// as over.
+func (l *Leader) knownAlike(j peer.LostJob) bool {
+	known, _ := l.Cache.Known(j.ID)
+	_, open := l.knowledge[j.ID]
+	return !open && known.Over() && known.State == j.State && l.jobs[j.ID] == nil
+}
+
 // learnOwn takes in what this leader's own picture says of a lost job.
 func (l *Leader) learnOwn(id string) {
 	j := l.jobs[id]
@@ -133,6 +151,9 @@
 			continue
 		}
 		scan.after = j.ID
+		if l.knownAlike(j) {
+			continue
+		}
 		l.learnOwn(j.ID)
 		l.learn(j.ID, recovery.FromCache(name), j.State, j.Tasks, decodeRecord(j.Record))
 	}
--- a/internal/control/recovery_operator.go
+++ b/internal/control/recovery_operator.go
@@ -93,7 +93,7 @@
 
 func (l *Leader) recoveryStatus() RecoveryStatus {
 	s := RecoveryStatus{
-		Phase: l.phase, Since: l.since, Evidence: maps.Clone(l.evidence), Lost: len(l.knowledge), ToWrite: len(l.unwritten),
+		Phase: l.phase, Since: l.since, Evidence: maps.Clone(l.evidence), Lost: l.Cache.LostJobs(), ToWrite: max(l.Cache.LostJobs(), len(l.unwritten)),
 		Written: maps.Clone(l.restored), Adopting: len(l.adopting), Held: len(l.held), HeldJobs: []HeldStatus{},
 		Events: slices.Clone(l.history.events), NotShown: l.history.dropped,
 	}
--- a/internal/control/recovery_write.go
+++ b/internal/control/recovery_write.go
@@ -50,12 +50,29 @@
 func (l *Leader) queueDecided() {
 	l.unwritten = l.knowledge.IDs()
 	clear(l.ranks)
+	l.plainAfter = ""
 	for _, id := range l.unwritten {
 		l.ranks[id] = l.rankOf(id, recovery.Decide(l.knowledge[id], true))
 	}
 	slices.SortStableFunc(l.unwritten, func(a, b string) int { return cmp.Compare(l.ranks[a], l.ranks[b]) })
 }
 
+// refill queues the next page of jobs that are over and of which nothing else has to be known,
+// and tells whether there were any left.
+func (l *Leader) refill() bool {
+	page, more := l.Cache.Lost(l.plainAfter, lostPageRows)
+	for _, lost := range page {
+		l.plainAfter = lost.ID
+		if _, open := l.knowledge[lost.ID]; open || !l.isPlain(lost) {
+			continue
+		}
+		l.learn(lost.ID, recovery.FromCache(l.Node), lost.State, lost.Tasks, nil)
+		l.ranks[lost.ID] = rankOver
+		l.unwritten = append(l.unwritten, lost.ID)
+	}
+	return more || len(page) > 0
+}
+
 // leastRank is the rank of what is to be written next.
 func (l *Leader) leastRank() writeRank {
 	if len(l.unwritten) == 0 {
@@ -227,6 +244,7 @@
 	slog.Info("lost record written", "job", r.id, "term", l.token, "outcome", string(r.decision.Outcome), "rule", string(r.decision.Rule), "said", k.Words())
 	l.history.add(now, string(r.decision.Outcome), r.id)
 	delete(l.knowledge, r.id)
+	delete(l.ranks, r.id)
 	if r.decision.Held || r.decision.Outcome == recovery.Contradictory {
 		l.held[r.id] = &heldJob{revision: rev, why: string(r.decision.Rule), sinceMs: now.UnixMilli(), known: k}
 	}
--- a/internal/jobs/cache.go
+++ b/internal/jobs/cache.go
@@ -7,6 +7,7 @@
 	"errors"
 	"log/slog"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -259,8 +260,8 @@
 	m.jobs.set(id, now)
 	m.describe(id, now, value)
 	if evidence != "" {
-		was := m.note(Lost{ID: id, State: now.state, Tasks: now.tasks, Revision: now.revision, Found: found.state})
-		if was.Found == found.state {
+		was := m.note(lostEntry{strings.Clone(id), found.state})
+		if was.found == found.state {
 			return "" // told before
 		}
 		return evidence
--- a/internal/jobs/lost.go
+++ b/internal/jobs/lost.go
@@ -34,7 +34,7 @@
 
 // losses is what a cache knows beyond the records. It is guarded by the cache's lock.
 type losses struct {
-	jobs         *btree.BTreeG[Lost] // by id
+	jobs         *btree.BTreeG[lostEntry] // by id
 	suspectUntil time.Time
 	compared     bool   // this node began while records were being compared: it saw none of what was lost
 	missing      int    // of the jobs, those without a record
@@ -47,11 +47,17 @@
 	verified     uint64 // comparisons made
 }
 
+// lostEntry is what is kept of a lost job besides what is known of it.
+type lostEntry struct {
+	id    string
+	found string // the state that its record tells; empty if there is none
+}
+
 // lossDegree is the width of the tree's nodes.
 const lossDegree = 16
 
 func newLosses() losses {
-	return losses{jobs: btree.NewG(lossDegree, func(a, b Lost) bool { return a.ID < b.ID })}
+	return losses{jobs: btree.NewG(lossDegree, func(a, b lostEntry) bool { return a.id < b.id })}
 }
 
 // Known returns what this node knows of a job, however old, without a read.
@@ -67,15 +73,16 @@
 func (m *Cache) Lost(after string, most int) (page []Lost, more bool) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	m.losses.jobs.AscendGreaterOrEqual(Lost{ID: after}, func(l Lost) bool {
-		if l.ID == after {
+	m.losses.jobs.AscendGreaterOrEqual(lostEntry{id: after}, func(l lostEntry) bool {
+		if l.id == after {
 			return true
 		}
 		if len(page) == most {
 			more = true
 			return false
 		}
-		page = append(page, l)
+		b, _ := m.jobs.get(l.id)
+		page = append(page, Lost{ID: l.id, State: b.state, Tasks: b.tasks, Revision: b.revision, Found: l.found})
 		return true
 	})
 	return page, more
@@ -85,7 +92,7 @@
 func (m *Cache) IsLost(id string) bool {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	return m.losses.jobs.Has(Lost{ID: id})
+	return m.losses.jobs.Has(lostEntry{id: id})
 }
 
 // Recorded returns how many jobs have a record, as far as this node knows.
@@ -166,30 +173,30 @@
 
 // miss notes that a job has no record, and whether that is news. The lock is held.
 func (m *Cache) miss(id string, b brief) (news bool) {
-	old, had := m.losses.jobs.Get(Lost{ID: id})
-	m.note(Lost{ID: id, State: b.state, Tasks: b.tasks})
+	old, had := m.losses.jobs.Get(lostEntry{id: id})
+	m.note(lostEntry{id: strings.Clone(id)})
 	b.revision = 0
 	m.jobs.set(id, b)
-	return !had || old.Found != ""
+	return !had || old.found != ""
 }
 
 // note takes in a job that is lost. The lock is held.
-func (m *Cache) note(l Lost) (was Lost) {
-	was = m.unnote(l.ID)
+func (m *Cache) note(l lostEntry) (was lostEntry) {
+	was = m.unnote(l.id)
 	m.losses.jobs.ReplaceOrInsert(l)
-	if l.Found == "" {
+	if l.found == "" {
 		m.losses.missing++
 	}
 	return was
 }
 
 // unnote takes in that a job is not lost any more. The lock is held.
-func (m *Cache) unnote(id string) (was Lost) {
+func (m *Cache) unnote(id string) (was lostEntry) {
 	if m.losses.jobs.Len() == 0 {
-		return Lost{}
+		return lostEntry{}
 	}
-	was, had := m.losses.jobs.Delete(Lost{ID: id})
-	if had && was.Found == "" {
+	was, had := m.losses.jobs.Delete(lostEntry{id: id})
+	if had && was.found == "" {
 		m.losses.missing--
 	}
 	return was
@@ -264,7 +271,7 @@
 	if revision != 0 {
 		found = b.state
 	}
-	m.note(Lost{ID: id, State: now.state, Tasks: now.tasks, Revision: revision, Found: found})
+	m.note(lostEntry{strings.Clone(id), found})
 	if state == Cancelled {
 		m.remember(Cancellation{id, revision})
 	}
--- /dev/null
+++ b/internal/node/recovery_scale_test.go
@@ -0,0 +1,147 @@
+package node
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strconv"
+	"testing"
+	"time"
+
+	"ospreyslip/internal/jobs"
+	"ospreyslip/internal/recovery"
+	"ospreyslip/internal/snapshot"
+	"ospreyslip/internal/standin"
+	"ospreyslip/internal/state"
+)
+
+// direct hands requests to a handler without a network, and counts them.
+type direct struct {
+	handler  http.Handler
+	requests int
+}
+
+func (d *direct) RoundTrip(r *http.Request) (*http.Response, error) {
+	d.requests++
+	return respond(d.handler, r), nil
+}
+
+// storedJobs puts so many jobs into a state service: one of eight is unfinished.
+func storedJobs(count int) *standin.State {
+	store := standin.NewState()
+	spec := batch("j-0", 12, 300)
+	for i := range count {
+		id := fmt.Sprintf("j-%08d", i)
+		rec := jobs.Record{State: jobs.Done, Tasks: 12}
+		if i%8 == 0 {
+			own := *spec
+			own.ID = id
+			rec = jobs.Record{State: jobs.Queued, Tasks: 12, Spec: &own, AtMs: 1_800_000_000_000}
+		}
+		raw, _ := json.Marshal(rec)
+		store.Put(jobs.RecordKey(id), raw)
+	}
+	return store
+}
+
+func heapMB() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc) / (1 << 20)
+}
+
+// TestRecoveryAtScale measures what a snapshot and the comparison of all records cost, by
+// size, on real time. It is a command: OSPREYSLIP_SCALE=300000 names the number of jobs.
+func TestRecoveryAtScale(t *testing.T) {
+	count, err := strconv.Atoi(os.Getenv("OSPREYSLIP_SCALE"))
+	if err != nil {
+		count = 2000
+	}
+	store := storedJobs(count)
+	wire := &direct{handler: store}
+	client := state.New("state:1", wire, time.Minute, state.Budget{Requests: 1e6, Writes: 1e6})
+	measure := func(what string, do func()) {
+		before, requests, began := heapMB(), wire.requests, time.Now()
+		do()
+		took := time.Since(began)
+		t.Logf("%d jobs, %s: %v, %d requests, %.1f MB more held", count, what, took.Round(time.Millisecond), wire.requests-requests, heapMB()-before)
+	}
+
+	var s *snapshot.Snapshot
+	measure("snapshot", func() {
+		if s, err = snapshot.Take(t.Context(), client, "c", time.Now()); err != nil {
+			t.Fatal(err)
+		}
+	})
+	var path string
+	measure("file written", func() {
+		if path, err = snapshot.Write(t.TempDir(), s); err != nil {
+			t.Fatal(err)
+		}
+	})
+	if info, err := os.Stat(path); err == nil {
+		t.Logf("%d jobs, %s: %.1f MB", count, filepath.Ext(path), float64(info.Size())/(1<<20))
+	}
+	measure("file read", func() {
+		if again, err := snapshot.Read(path); err != nil || len(again.Records) != len(s.Records) {
+			t.Fatal(err)
+		}
+	})
+	s = nil
+
+	cache := jobs.NewCache(client, time.Millisecond, time.Millisecond, time.Minute, 100)
+	measure("all records read by a node", func() {
+		go cache.Run(t.Context())
+		for !cache.Listed() {
+			time.Sleep(time.Millisecond)
+		}
+	})
+	verified := func() {
+		ticket := cache.Verify()
+		for !cache.Verified(ticket) {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	measure("compared, nothing lost", verified)
+	store.Lose(true, standin.WithPrefix("job/"))
+	measure("compared, everything lost", verified)
+	if cache.LostJobs() != count {
+		t.Errorf("%d of %d jobs are missed", cache.LostJobs(), count)
+	}
+	view := recovery.View{}
+	measure("unfinished jobs joined and decided", func() {
+		for after, more := "", true; more; {
+			var page []jobs.Lost
+			page, more = cache.Lost(after, lostRows)
+			for _, l := range page {
+				after = l.ID
+				if l.State == jobs.Queued { // the others are written a page at a time
+					view.Add(l.ID, recovery.Says(recovery.FromCache("perch-1"), recovery.Knowledge{Unfinished: true, Tasks: l.Tasks}))
+				}
+			}
+		}
+		for _, id := range view.IDs() {
+			recovery.Decide(view[id], true)
+		}
+	})
+	if want := (count + 7) / 8; len(view) != want {
+		t.Errorf("%d of %d unfinished jobs are known", len(view), want)
+	}
+}
+
+// respond runs a request through a handler.
+func respond(h http.Handler, r *http.Request) *http.Response {
+	inner := r.Clone(r.Context())
+	inner.RequestURI = r.URL.RequestURI()
+	if inner.Body == nil {
+		inner.Body = http.NoBody
+	}
+	rec := httptest.NewRecorder()
+	h.ServeHTTP(rec, inner)
+	return rec.Result()
+}
--- a/internal/standin/loss.go
+++ b/internal/standin/loss.go
@@ -14,7 +14,7 @@
 func (s *State) Lose(silently bool, match func(key string) bool) (lost []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, key := range s.sorted("") {
+	for _, key := range slices.Clone(s.sorted("")) {
 		if !match(key) {
 			continue
 		}
@@ -22,7 +22,7 @@
 			s.rev++
 		}
 		lost = append(lost, key)
-		delete(s.keys, key)
+		s.remove(key)
 		if !silently {
 			s.log = append(s.log, change{Remove: key, Revision: s.rev})
 		}
@@ -61,6 +61,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.keys, s.log, s.rev = maps.Clone(b.keys), slices.Clone(b.log), b.rev
+	s.ordered = nil
 	s.wake()
 }
 
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -3,8 +3,9 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
-	"sort"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -33,6 +34,7 @@
 type State struct {
 	mu      sync.Mutex
 	keys    map[string]entry
+	ordered []string // keys in order, nil if one has come or gone since
 	log     []change
 	rev     uint64
 	leases  map[uint64]*lease
@@ -148,7 +150,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.rev++
-	s.keys[key] = entry{value, s.rev, 0}
+	s.set(key, entry{value, s.rev, 0})
 	s.log = append(s.log, change{Set: key, Value: value, Revision: s.rev})
 	s.wake()
 }
@@ -157,18 +159,33 @@
 func (s *State) Keys(prefix string) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.sorted(prefix)
+	return slices.Clone(s.sorted(prefix))
 }
 
 func (s *State) sorted(prefix string) []string {
-	var out []string
-	for k := range s.keys {
-		if strings.HasPrefix(k, prefix) {
-			out = append(out, k)
-		}
+	if len(s.ordered) != len(s.keys) {
+		s.ordered = slices.Sorted(maps.Keys(s.keys))
+	}
+	from, _ := slices.BinarySearch(s.ordered, prefix)
+	to := from
+	for to < len(s.ordered) && strings.HasPrefix(s.ordered[to], prefix) {
+		to++
+	}
+	return s.ordered[from:to]
+}
+
+// set writes a key. The lock is held.
+func (s *State) set(key string, e entry) {
+	if _, had := s.keys[key]; !had {
+		s.ordered = nil
 	}
-	sort.Strings(out)
-	return out
+	s.keys[key] = e
+}
+
+// remove takes a key away. The lock is held.
+func (s *State) remove(key string) {
+	s.ordered = nil
+	delete(s.keys, key)
 }
 
 func (s *State) wake() {
@@ -199,7 +216,7 @@
 	}
 	s.rev++
 	for _, k := range gone {
-		delete(s.keys, k)
+		s.remove(k)
 		s.log = append(s.log, change{Remove: k, Revision: s.rev})
 	}
 	s.wake()
@@ -279,10 +296,12 @@
 	q := r.URL.Query()
 	most, _ := strconv.Atoi(q.Get("most"))
 	pairs, more := []map[string]any{}, false
-	for _, k := range s.sorted(q.Get("prefix")) {
-		if k <= q.Get("after") {
-			continue
-		}
+	keys := s.sorted(q.Get("prefix"))
+	from, found := slices.BinarySearch(keys, q.Get("after"))
+	if found {
+		from++
+	}
+	for _, k := range keys[from:] {
 		if len(pairs) == most {
 			more = true
 			break
@@ -341,10 +360,10 @@
 	}
 	for _, p := range in.Writes {
 		if p.Set != "" {
-			s.keys[p.Set] = entry{p.Value, s.rev, p.Lease}
+			s.set(p.Set, entry{p.Value, s.rev, p.Lease})
 			s.log = append(s.log, change{Set: p.Set, Value: p.Value, Revision: s.rev})
 		} else if _, ok := s.keys[p.Remove]; ok {
-			delete(s.keys, p.Remove)
+			s.remove(p.Remove)
 			s.log = append(s.log, change{Remove: p.Remove, Revision: s.rev})
 		}
 	}
