--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -51,6 +51,7 @@
 			continue
 		}
 		after = max(after, rev)
+		newest.Raise(rev)
 		seen := after
 		proven := after >= least && !asked.IsZero()
 		sent := asked
--- a/internal/control/write.go
+++ b/internal/control/write.go
@@ -132,10 +132,16 @@
 // from a record that was put back.
 func (l *Leader) doneElsewhere(j *job) {
 	j.final = true
+	l.dropFinished(j.id)
 	l.cancelTasks(j)
 	l.finalDone(j)
 }
 
+// dropFinished takes a job off those whose end is to be written.
+func (l *Leader) dropFinished(id string) {
+	l.finished = slices.DeleteFunc(l.finished, func(f *job) bool { return f.id == id })
+}
+
 // written takes in the outcome of a transaction.
 func (l *Leader) written(ctx context.Context, b *batch, rev uint64, failed []string, err error) {
 	// What was too large is no outage: were it taken for one, and nothing were left to
@@ -223,20 +229,24 @@
 	}
 	var rec jobs.Record
 	j := l.jobs[id]
-	if j != nil && p.Revision == 0 {
+	if j == nil {
+		l.dropFinished(id) // settled meanwhile: its end is written by others
+		return
+	}
+	if p.Revision == 0 {
 		// Lost: it is written in place of what is not there any more.
 		j.revision = 0
 		l.suspect(loss.Loss{Kind: loss.RecordMissing, Key: key}, time.Now())
 		return
 	}
-	if j == nil || jsonv2.Unmarshal(p.Value, &rec) != nil {
+	if jsonv2.Unmarshal(p.Value, &rec) != nil {
 		return
 	}
 	if !rec.Over() {
 		j.revision = p.Revision // it was lost and is back
 		return
 	}
-	l.finished = slices.DeleteFunc(l.finished, func(f *job) bool { return f == j })
+	l.dropFinished(id)
 	switch rec.State {
 	case jobs.Done:
 		l.finalDone(j)
--- a/internal/jobs/cache.go
+++ b/internal/jobs/cache.go
@@ -181,6 +181,7 @@
 				}
 			}
 			m.revision = max(m.revision, revision)
+			m.newest.Raise(revision)
 			if m.revision >= least {
 				return nil
 			}
--- a/internal/loss/loss.go
+++ b/internal/loss/loss.go
@@ -75,6 +75,10 @@
 	return Loss{}, false
 }
 
+// Raise takes in a number that may be older than the newest, such as that of a watch: it
+// tells of nothing if it is lower.
+func (h *Highest) Raise(found uint64) { h.value = max(h.value, found) }
+
 // Reset starts anew from a number, after its predecessors were found to be lost.
 func (h *Highest) Reset(to uint64) { h.value = to }
 
--- a/internal/loss/loss_test.go
+++ b/internal/loss/loss_test.go
@@ -61,6 +61,11 @@
 	if _, back := seen.See(RevisionBack, "", 8); back || seen.Value() != 8 {
 		t.Error("still compared with what is lost")
 	}
+	seen.Raise(5)
+	seen.Raise(12)
+	if l, back := seen.See(RevisionBack, "", 11); !back || l.Known != 12 {
+		t.Error("what a watch had shown was forgotten")
+	}
 	if PlausibleToken(1<<63, 5) || !PlausibleToken(900, 5) || !PlausibleToken(3, 5) {
 		t.Error("tokens: one far ahead is none of ours, one a little ahead or behind may be")
 	}
--- a/internal/node/recovery_seeds_test.go
+++ b/internal/node/recovery_seeds_test.go
@@ -139,6 +139,7 @@
 	wholeAfter      time.Duration // since the loss; 0 if it was not noticed, or is not over
 	held            int
 	open            int // jobs that are not over at the end, but for services
+	openJobs        []string
 	wrong           []string
 }
 
@@ -175,6 +176,7 @@
 		id := jobs.IDOf(key)
 		if !rec.Over() && (rec.Spec == nil || rec.Spec.Ends()) {
 			day.open++
+			day.openJobs = append(day.openJobs, id)
 		}
 		// The truth is what the machines have done.
 		if spec := c.world.Spec(id); rec.State == jobs.Done && !c.world.AllDone(id) || rec.State == jobs.Done && spec != nil && !spec.Ends() {
@@ -235,6 +237,9 @@
 			for _, wrong := range day.wrong {
 				t.Errorf("%s, though it is not", wrong)
 			}
+			if day.open > 0 && day.held == 0 {
+				t.Errorf("%d jobs are not over: %v", day.open, day.openJobs)
+			}
 		})
 	}
 }
