--- /dev/null
+++ b/internal/control/recovery_scale_test.go
@@ -0,0 +1,55 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"ospreyslip/internal/jobs"
+	"ospreyslip/internal/liveness"
+	"ospreyslip/internal/loss"
+	"ospreyslip/internal/term"
+	"ospreyslip/internal/workers"
+)
+
+// lostFleet is the number of machines of the test below.
+const lostFleet = 4000
+
+// The assignment log of 4,000 machines is lost with the leader. The next one, which reads
+// the jobs and no task, adopts what each worker reports: nothing is stopped, nothing begun
+// meanwhile, and at the end of the leases all is accounted for.
+func TestAdoptionAtScale(t *testing.T) {
+	l, reports, now := fleetOf(t, lostFleet)
+	spec := *l.jobs["j-7"].spec
+	next := newLeader(l.Deps, term.Term{Token: 6, Since: now})
+	next.viewTime = now
+	next.watch = liveness.New(liveness.Config{})
+	next.readLog(nil)
+	j := newJob(spec.ID, &spec, 1, 0, now)
+	next.jobs[spec.ID] = j
+	next.suspect(loss.Loss{Kind: loss.SegmentMissing, Key: logPrefix}, now)
+	if !next.awaitsWorkers(j, now) {
+		t.Fatal("tasks would be placed before those that run are known")
+	}
+	began := time.Now()
+	for _, r := range reports {
+		r.Token = 6
+		r.Seq++
+		answer := next.report(r, now)
+		if answer == nil {
+			t.Fatalf("%s is not answered", r.Machine)
+		}
+		for _, c := range answer.Calls {
+			if c.Op != workers.OpClear {
+				t.Fatalf("%s is told: %s %s", r.Machine, c.Op, c.Task)
+			}
+		}
+	}
+	t.Logf("%d reports with adoption: %v", len(reports), time.Since(began).Round(time.Millisecond))
+	if len(j.tasks) != lostFleet || j.waiting != spec.Tasks-lostFleet {
+		t.Errorf("%d of %d tasks adopted, %d wait", len(j.tasks), lostFleet, j.waiting)
+	}
+	next.endAdoptions(now.Add(next.Derived.LeaseOver))
+	if len(next.adopting) > 0 || j.spec.Shape != jobs.Batch {
+		t.Error("still waiting after every lease has ended")
+	}
+}
