--- a/internal/node/recovery_test.go
+++ b/internal/node/recovery_test.go
@@ -505,3 +505,54 @@
 		}
 	})
 }
+
+// The log is lost with its leader, and a machine is unreachable until after its worker's
+// lease. What it had is begun anew only then; when it is back, nothing runs twice.
+func TestWorkerSilentInRecovery(t *testing.T) {
+	inCluster(t, nil, func(c *cluster) {
+		c.fill()
+		far := c.world.On("j-2/0")[0]
+		starts := c.world.Starts()
+		old := c.leader()
+		end, hits := c.trouble(unreachable(far))
+		c.crash(old)
+		c.world.State.Lose(true, standin.WithPrefix("book/"))
+		c.start(old)
+		c.run(12 * time.Second)
+		if n := c.world.Starts() - starts; n > 0 || len(c.world.On("j-2/0")) != 1 {
+			t.Errorf("%d tasks began before the lease of %s was over", n, far)
+		}
+		c.run(20 * time.Second)
+		c.within(90*time.Second, "begun anew elsewhere", func() bool { return c.on("j-1", 2) == 2 && c.on("j-2", 4) == 4 })
+		if hits() == 0 || c.world.Starts() == starts {
+			t.Errorf("%d messages held, %d tasks began", hits(), c.world.Starts()-starts)
+		}
+		end()
+		c.run(time.Minute)
+		if n := c.on("j-1", 2) + c.on("j-2", 4); n != 6 {
+			t.Errorf("%d of 6 tasks run when the machine is back", n)
+		}
+	})
+}
+
+// A job ends, its last completions are in segments that are lost, and its record with them:
+// it is done by what the caches know, and its tasks are not begun again.
+func TestFinishedJobWithItsSegmentLost(t *testing.T) {
+	inCluster(t, nil, func(c *cluster) {
+		c.submit("perch-0", batch("j-1", 6, 10))
+		c.withinDone(time.Minute, "j-1")
+		c.run(15 * time.Second)
+		starts := c.world.Starts()
+		old := c.leader()
+		c.crash(old)
+		c.world.State.Lose(true, func(key string) bool { return strings.HasPrefix(key, "book/") || key == "job/j-1" })
+		c.start(old)
+		c.run(time.Minute)
+		c.withinWhole(2 * time.Minute)
+		c.hasRecords(jobs.Done, "j-1")
+		c.showsEverywhere("j-1", jobs.Done)
+		if n := c.world.Starts() - starts; n > 0 {
+			t.Errorf("%d tasks of a finished job began again", n)
+		}
+	})
+}
