--- a/internal/control/job.go
+++ b/internal/control/job.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"ospreyslip/internal/jobs"
@@ -40,7 +41,8 @@
 	// While the assignment log may lack tasks of the job, none is placed, and those that
 	// workers show are adopted: see recovery_adopt.go.
 	adoptUntil time.Time
-	parts      map[int]gangPart // of an attempt of a gang that is not known whole yet
+	doubled    map[int][]*assignment // earlier ones of a task, by a log that lacks their ends
+	parts      map[int]gangPart      // of an attempt of a gang that is not known whole yet
 }
 
 type chunk struct {
@@ -107,4 +109,22 @@
 	}
 }
 
+// forgotten takes in that an assignment's end is durable, and tells whether its task is on no
+// machine any more.
+func (j *job) forgotten(a *assignment) bool {
+	if others := j.doubled[a.n]; len(others) > 0 {
+		left := slices.DeleteFunc(others, func(o *assignment) bool { return o == a })
+		if j.tasks[a.n] == a {
+			j.tasks[a.n], left = left[0], left[1:]
+		}
+		j.doubled[a.n] = left
+		return false
+	}
+	if j.tasks[a.n] != a {
+		return false
+	}
+	delete(j.tasks, a.n)
+	return true
+}
+
 func (j *job) over() bool { return j.cancelled || j.final }
--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -140,13 +140,7 @@
 			a := p.begun[attempt]
 			l.count(a)
 			a.m.assigned[attempt] = a
-			a.job.tasks[a.n] = a
-			if !a.job.isDone(a.n) {
-				a.job.waiting--
-			}
-			if a.job.isGang() {
-				a.job.joined(a)
-			}
+			a.job.restored(a)
 		}
 	}
 	for _, p := range l.log.segments {
@@ -162,6 +156,27 @@
 	}
 }
 
+// restored takes in an assignment of the job from the log. There may be two of one task, if
+// the segment was lost that said that the first was over: then both have to be off their
+// machines before it is placed again.
+func (j *job) restored(a *assignment) {
+	if before := j.tasks[a.n]; before != nil {
+		if j.doubled == nil {
+			j.doubled = map[int][]*assignment{}
+		}
+		j.doubled[a.n] = append(j.doubled[a.n], before)
+		j.tasks[a.n] = a
+		return
+	}
+	j.tasks[a.n] = a
+	if !j.isDone(a.n) {
+		j.waiting--
+	}
+	if j.isGang() {
+		j.joined(a)
+	}
+}
+
 func (l *Leader) restoreMachine(b begunRecord, now time.Time) *machine {
 	m := l.machines.byID[b.Machine]
 	if m == nil {
--- a/internal/control/recovery.go
+++ b/internal/control/recovery.go
@@ -88,7 +88,8 @@
 		slog.Error("records may be lost", "term", l.token, "evidence", e.String())
 	}
 	l.history.add(now, "evidence", e.String())
-	if e.Kind == loss.RevisionBack || e.Kind == loss.RecordOlder {
+	switch e.Kind {
+	case loss.RevisionBack, loss.RecordOlder, loss.Earlier, loss.ReportedByPeer: // the last two may be that
 		l.putBack.Store(true)
 	}
 	if e.Kind.AffectsLog() && l.phase != Comparing {
--- a/internal/control/recovery_scale_test.go
+++ b/internal/control/recovery_scale_test.go
@@ -53,3 +53,38 @@
 		t.Error("still waiting after every lease has ended")
 	}
 }
+
+// The segment that said that a task's first attempt is over was lost: the log has two of it.
+// The task waits again only when both are off their machines, and then once.
+func TestTaskTwiceInALogWithAHole(t *testing.T) {
+	for _, firstEnds := range []int{0, 1} {
+		l, _, j, now := bench()
+		next := newLeader(l.Deps, term.Term{Token: 6, Since: now})
+		next.readLog(nil)
+		spec := *j.spec
+		job := newJob(j.id, &spec, 1, 0, now)
+		next.jobs[j.id] = job
+		segments := []segmentRecord{{Number: 1}, {Number: 2}}
+		for i := range segments {
+			segments[i].Begun = []begunRecord{{
+				Machine: []string{"m-1", "m-2"}[i], Addr: "10.1.0.1:9000", Type: "c4", Zone: "a", Session: 1,
+				Tasks: []taskRecord{{Job: j.id, N: 0, Attempt: uint64(i + 1)}},
+			}}
+		}
+		next.restore(segments, nil, now)
+		if job.waiting != 1 || len(job.tasks) != 1 {
+			t.Fatalf("%d wait, %d are placed", job.waiting, len(job.tasks))
+		}
+		both := []*assignment{next.machines.byID["m-1"].assigned[1], next.machines.byID["m-2"].assigned[2]}
+		for i, a := range []*assignment{both[firstEnds], both[1-firstEnds]} {
+			next.conclude(a, retry)
+			next.forget(a)
+			if want := 1 + i; job.waiting != want {
+				t.Errorf("after %d of two has ended, %d tasks wait, want %d", i+1, job.waiting, want)
+			}
+		}
+		if len(job.tasks) != 0 {
+			t.Errorf("%d still placed", len(job.tasks))
+		}
+	}
+}
--- a/internal/control/tasks.go
+++ b/internal/control/tasks.go
@@ -134,8 +134,7 @@
 	if len(m.assigned) == 0 {
 		m.idleSince = time.Now()
 	}
-	if j.tasks[a.n] == a {
-		delete(j.tasks, a.n)
+	if j.forgotten(a) {
 		if len(j.tasks) == 0 {
 			j.gang, j.whole = gangAttempt{}, time.Now()
 		}
--- a/internal/jobs/api.go
+++ b/internal/jobs/api.go
@@ -198,7 +198,7 @@
 	if err != nil || known == nil {
 		return false, err
 	}
-	if a.unsettled(known) {
+	if a.unsettled(spec.ID, known) {
 		a.later(w, unsettledText)
 		return true, nil
 	}
@@ -220,8 +220,11 @@
 // unsettledText is told by a node that has just begun.
 const unsettledText = "this node has just begun and does not know yet whether records are missing"
 
-// unsettled tells whether a record may say less than users were told before this node began.
-func (a *API) unsettled(rec *Record) bool { return !rec.Over() && !a.Cache.Settled() }
+// unsettled tells whether a job that is unfinished, as far as this node knows, may be over: its
+// record may say less than users were told, or is lost, and was changed just before.
+func (a *API) unsettled(id string, rec *Record) bool {
+	return !rec.Over() && (!a.Cache.Settled() || a.Cache.IsLost(id) && a.Cache.Suspected())
+}
 
 // ifNew answers a submission of a known job with its state; what is done about a new one
 // is for the caller.
@@ -230,7 +233,7 @@
 	switch {
 	case err != nil:
 		a.later(w, "state service does not answer")
-	case rec != nil && a.unsettled(rec):
+	case rec != nil && a.unsettled(id, rec):
 		a.later(w, unsettledText)
 	case rec != nil:
 		reply(w, http.StatusOK, view{ID: id, State: a.shownState(id, rec)})
@@ -274,7 +277,7 @@
 		a.later(w, "state service does not answer")
 	case !found:
 		refuse(w, http.StatusNotFound, "no such job")
-	case a.unsettled(&rec):
+	case a.unsettled(id, &rec):
 		a.later(w, unsettledText)
 	default:
 		var c Counts
@@ -319,7 +322,7 @@
 		case rec.Over():
 			reply(w, http.StatusOK, view{ID: id, State: rec.State})
 			return true, nil
-		case a.unsettled(rec):
+		case a.unsettled(id, rec):
 			a.later(w, unsettledText)
 			return true, nil
 		}
--- a/internal/node/recovery_seeds_test.go
+++ b/internal/node/recovery_seeds_test.go
@@ -176,7 +176,7 @@
 		id := jobs.IDOf(key)
 		if !rec.Over() && (rec.Spec == nil || rec.Spec.Ends()) {
 			day.open++
-			day.openJobs = append(day.openJobs, id)
+			day.openJobs = append(day.openJobs, fmt.Sprintf("%s %s; %s", id, c.world.State.Value(key), c.waiting()))
 		}
 		// The truth is what the machines have done.
 		if spec := c.world.Spec(id); rec.State == jobs.Done && !c.world.AllDone(id) || rec.State == jobs.Done && spec != nil && !spec.Ends() {
@@ -185,6 +185,16 @@
 	}
 }
 
+// waiting is what the leader says of all classes.
+func (c *cluster) waiting() string {
+	for _, name := range c.names {
+		if s := c.nodes[name].node.gate.Status(c.ctx); s != nil {
+			return fmt.Sprintf("%+v, %d to write", s.Classes, s.WriteQueue)
+		}
+	}
+	return "nobody leads"
+}
+
 func drawJob(r *rand.Rand, i int) *jobs.Spec {
 	id := fmt.Sprintf("j-%d", 10+i)
 	switch r.IntN(8) {
