--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -34,7 +34,7 @@
 			after = 0 // revisions are given out again: nothing can be concluded from those before
 		}
 		rev, changes, err := l.Store.Watch(ctx, jobs.RecordPrefix, after, l.Derived.WatchWait)
-		if putBack || errors.Is(err, state.ErrCompacted) {
+		if putBack || l.listAnew.Swap(false) || errors.Is(err, state.ErrCompacted) {
 			var pairs []state.Pair
 			if pairs, rev, err = l.Store.List(ctx, jobs.RecordPrefix); err == nil {
 				for _, p := range pairs {
--- a/internal/control/recovery.go
+++ b/internal/control/recovery.go
@@ -41,6 +41,7 @@
 type recoverer struct {
 	phase      RecoveryPhase
 	uncertain  atomic.Bool // comparing, for other goroutines
+	listAnew   atomic.Bool // the watch may have missed changes, if revisions were given out again
 	putBack    atomic.Bool // records may say less than users were told, for other goroutines
 	round      uint64      // of comparison
 	since      time.Time
@@ -150,6 +151,7 @@
 	l.uncertain.Store(true)
 	l.Cache.Suspect(now.Add(l.Derived.Cancel))
 	l.ticket = l.Cache.Verify()
+	l.listAnew.Store(true)
 	l.ownAfter, l.ownDone = "", false
 	clear(l.peers)
 	l.history.add(now, "comparing", fmt.Sprintf("round %d", l.round))
--- a/internal/node/recovery_test.go
+++ b/internal/node/recovery_test.go
@@ -47,6 +47,7 @@
 	c.within(d, "records whole", func() bool {
 		return c.recoveryOf().Phase == control.Whole && c.world.State.Value(jobs.RecoveryStatusKey) == nil
 	})
+	c.run(2 * time.Second) // within a control interval, all nodes have heard of it
 }
 
 // hasRecords checks that jobs have records again, in a state.
