Losses: numbers are judged by what was known when asked for; acceptances are kept

A node that had read nothing of what was lost in an outage answered 404 at once after it.

Change: loss.Highest takes the request a number answers; API.submit keeps what it accepted; after an outage a node asks all others for their newest revision before it tells 404. Two tests of the cache said 404 at once after an outage: now 503 until the others were asked, then 404.

--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -22,17 +22,19 @@
 	for ctx.Err() == nil {
 		// Only what reaches a revision read at some moment is as new as that: a
 		// watch may lag, or be empty because the service does not serve this node.
+		putBack := false
+		request := newest.Ask()
 		if sent := time.Now(); least <= after {
 			if r, err := l.Store.Revision(ctx); err == nil {
 				least, asked = r, sent
+				var e loss.Loss
+				if e, putBack = newest.See(request, loss.RevisionBack, "", r); putBack {
+					l.post(ctx, func(now time.Time) { l.suspect(e, now) })
+					after = 0 // revisions are given out again: nothing can be concluded from those before
+				}
 			}
 		}
-		e, putBack := newest.See(loss.RevisionBack, "", least)
-		if putBack {
-			newest.Reset(least)
-			l.post(ctx, func(now time.Time) { l.suspect(e, now) })
-			after = 0 // revisions are given out again: nothing can be concluded from those before
-		}
+		request = newest.Ask()
 		rev, changes, err := l.Store.Watch(ctx, jobs.RecordPrefix, after, l.Derived.WatchWait)
 		if putBack || l.listAnew.Swap(false) || errors.Is(err, state.ErrCompacted) {
 			var pairs []state.Pair
@@ -51,7 +53,7 @@
 			continue
 		}
 		after = max(after, rev)
-		newest.Raise(rev)
+		newest.Raise(request, rev)
 		seen := after
 		proven := after >= least && !asked.IsZero()
 		sent := asked
--- a/internal/jobs/api.go
+++ b/internal/jobs/api.go
@@ -100,6 +100,7 @@
 // read reads a job's record, and its revision. Where the state service has lost it, or
 // says less than this node knows, what is known takes its place.
 func (a *API) read(ctx context.Context, id string) (*Record, uint64, error) {
+	asked := a.Cache.Ask()
 	p, found, err := a.Store.Get(ctx, RecordKey(id))
 	if err != nil {
 		return nil, 0, err
@@ -114,7 +115,7 @@
 	if err := jsonv2.Unmarshal(p.Value, &rec); err != nil {
 		return nil, 0, err
 	}
-	a.Cache.set(p.Key, p.Value, p.Revision) // before anybody is told
+	a.Cache.Take(asked, p) // before anybody is told
 	if known, _ := a.Cache.Known(id); known.Over() {
 		rec.State = known.State
 	}
@@ -176,12 +177,15 @@
 	}
 	a.retry(ctx, w, func() (bool, error) {
 		if _, known := a.Cache.Known(spec.ID); !known {
-			_, failed, err := a.Store.Commit(ctx, []state.Guard{{Key: RecordKey(spec.ID)}},
+			asked := a.Cache.Ask()
+			rev, failed, err := a.Store.Commit(ctx, []state.Guard{{Key: RecordKey(spec.ID)}},
 				[]state.Write{{Set: RecordKey(spec.ID), Value: value}})
 			if err != nil {
 				return false, err
 			}
 			if len(failed) == 0 {
+				// Should the state service lose the record, nobody else may know of it.
+				a.Cache.Take(asked, state.Pair{Key: RecordKey(spec.ID), Value: value, Revision: rev})
 				slog.Debug("job accepted", "job", spec.ID, "class", spec.Class, "tasks", spec.Tasks)
 				reply(w, http.StatusCreated, view{ID: spec.ID, State: Queued})
 				return true, nil
@@ -327,12 +331,13 @@
 			return true, nil
 		}
 		ended := rec.Ended(Cancelled, a.Derived.ValueBytes)
+		asked := a.Cache.Ask()
 		rev, failed, err := a.Store.Commit(ctx, []state.Guard{{Key: RecordKey(id), Revision: revision}},
 			[]state.Write{{Set: RecordKey(id), Value: ended}})
 		if err != nil || len(failed) > 0 {
 			return false, err
 		}
-		a.Cache.set(RecordKey(id), ended, rev)
+		a.Cache.Take(asked, state.Pair{Key: RecordKey(id), Value: ended, Revision: rev})
 		slog.Debug("job cancelled", "job", id)
 		reply(w, http.StatusOK, view{ID: id, State: Cancelled})
 		return true, nil
--- a/internal/jobs/cache.go
+++ b/internal/jobs/cache.go
@@ -9,7 +9,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	jsonv2 "github.com/go-json-experiment/json"
@@ -43,11 +42,10 @@
 	keep       int            // so many of them, at least
 	dropped    uint64         // up to this revision some may be missing
 	losses     losses
-	newestSeen atomic.Uint64 // newest, for others
+	newest     loss.Highest // revision that was read or written
 	// Owned by Run.
 	whole    bool
 	revision uint64
-	newest   loss.Highest // revision that was read
 }
 
 // NewCache makes an empty cache; Run fills it. It remembers the last keep
@@ -157,14 +155,16 @@
 // reach.
 func (m *Cache) read(ctx context.Context) error {
 	if m.whole {
+		request := m.newest.Ask()
 		least, err := m.store.Revision(ctx)
 		if err != nil {
 			return err
 		}
-		if m.checkRevision(least); !m.whole {
+		if m.checkRevision(request, least); !m.whole {
 			return m.list(ctx)
 		}
 		for range readTries {
+			request := m.newest.Ask()
 			revision, changes, err := m.store.Watch(ctx, RecordPrefix, m.revision, 0)
 			if errors.Is(err, state.ErrCompacted) {
 				m.whole = false
@@ -181,7 +181,7 @@
 				}
 			}
 			m.revision = max(m.revision, revision)
-			m.newest.Raise(revision)
+			m.newest.Raise(request, revision)
 			if m.revision >= least {
 				return nil
 			}
@@ -204,11 +204,12 @@
 			return err
 		}
 	}
+	request := m.newest.Ask()
 	all, revision, err := m.readAll(ctx, 0, func(string) {})
 	if err != nil {
 		return err
 	}
-	if m.checkRevision(revision) {
+	if m.checkRevision(request, revision) {
 		return m.list(ctx)
 	}
 	m.mu.Lock()
--- a/internal/jobs/cache_test.go
+++ b/internal/jobs/cache_test.go
@@ -110,7 +110,12 @@
 		c.want("j-15", "503", "an outage")
 		c.want("j-99", "503", "an outage: what is not in the cache may exist")
 		c.store.Down(false)
-		c.want("j-99", "404", "after it")
+		c.want("j-15", jobs.Done, "after it")
+		c.want("j-99", "503", "the service may have been put back in it: another node may know")
+		c.m.Confirm(1)
+		c.want("j-99", "503", "only after the first of two outages nobody knew more")
+		c.m.Confirm(2)
+		c.want("j-99", "404", "nobody knows more")
 	})
 }
 
--- a/internal/jobs/certainty.go
+++ b/internal/jobs/certainty.go
@@ -15,6 +15,8 @@
 //   - Sure: what is not known was never accepted. A node that has just begun becomes sure when
 //     a reading, begun after all others (or the leader) told how many jobs they know, has as
 //     many.
+//     After an outage of the state service, in which that may have been put back, all others
+//     are asked once more (Confirm).
 //   - Settled: moreover, what is unfinished by its record was not told to be over by anybody. It
 //     is not so while records are compared that were lost before this node began, nor after
 //     the service was put back.
@@ -51,8 +53,26 @@
 	defer m.mu.Unlock()
 	m.losses.suspectUntil = time.Time{}
 	m.losses.compared = false
+	m.losses.confirmed = m.store.Outages()
 }
 
+// Confirm notes that, after a number of outages, no other node knew of a newer revision than
+// the state service.
+func (m *Cache) Confirm(outages uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.losses.confirmed = max(m.losses.confirmed, outages)
+}
+
+// Confirmed tells whether that is so since the last outage.
+func (m *Cache) Confirmed() bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.confirmedLocked()
+}
+
+func (m *Cache) confirmedLocked() bool { return m.losses.confirmed == m.store.Outages() }
+
 // Suspected tells whether records may be missing.
 func (m *Cache) Suspected() bool {
 	m.mu.RLock()
@@ -65,7 +85,7 @@
 func (m *Cache) Sure() bool {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	return m.losses.sure && !m.losses.compared && !time.Now().Before(m.losses.suspectUntil)
+	return m.losses.sure && !m.losses.compared && m.confirmedLocked() && !time.Now().Before(m.losses.suspectUntil)
 }
 
 // tell hands on evidence. No lock may be held.
--- a/internal/jobs/lost.go
+++ b/internal/jobs/lost.go
@@ -33,6 +33,7 @@
 	heard        bool   // another node has told how much it knows
 	sure         bool   // since then, all was read: what is not known was never accepted
 	verified     uint64 // comparisons made
+	confirmed    uint64 // outages of the state service after which all others were asked
 }
 
 // lostEntry is what is kept of a lost job besides what is known of it.
--- a/internal/jobs/lost_test.go
+++ b/internal/jobs/lost_test.go
@@ -88,6 +88,8 @@
 		c.want("j-1", "503", "an outage")
 		c.store.Down(false)
 		c.want("j-1", jobs.Queued, "after it")
+		c.want("j-99", "503", "others may know more after an outage")
+		c.m.Confirm(1) // refused and down without an answer in between: it is one
 		c.want("j-99", "404", "never submitted")
 		seen.none(c.t, "an ordinary day")
 		c.wantLost("an ordinary day")
--- a/internal/jobs/verify.go
+++ b/internal/jobs/verify.go
@@ -9,19 +9,29 @@
 	"ospreyslip/internal/state"
 )
 
-// Newest returns the newest revision of the state service that this node has read.
-func (m *Cache) Newest() uint64 { return m.newestSeen.Load() }
+// Newest returns the newest revision of the state service that this node has read or written.
+func (m *Cache) Newest() uint64 { return m.newest.Value() }
+
+// Ask has to be called before a record is read or written that Take takes in.
+func (m *Cache) Ask() loss.Request { return m.newest.Ask() }
+
+// Take takes in a record that was read or written elsewhere in this process. If the service
+// was put back meanwhile, its revision may be of the past, and the record lost.
+func (m *Cache) Take(asked loss.Request, p state.Pair) {
+	if !m.newest.Raise(asked, p.Revision) {
+		p.Revision = 0
+	}
+	m.set(p.Key, p.Value, p.Revision)
+}
 
 // checkRevision takes in a revision that was just read. One below those before shows that
 // the service was put back: revisions are given out again, and all is read anew.
-func (m *Cache) checkRevision(found uint64) (back bool) {
-	l, back := m.newest.See(loss.RevisionBack, "", found)
-	m.newestSeen.Store(found)
+func (m *Cache) checkRevision(request loss.Request, found uint64) (back bool) {
+	l, back := m.newest.See(request, loss.RevisionBack, "", found)
 	if !back {
 		return false
 	}
 	slog.Error("state service put back", "known", l.Known, "found", l.Found)
-	m.newest.Reset(found)
 	m.whole = false
 	m.mu.Lock()
 	m.jobs.forgetRevisions(found)
--- a/internal/loss/loss.go
+++ b/internal/loss/loss.go
@@ -60,28 +60,6 @@
 	return s
 }
 
-// Highest is the highest of numbers that only grow, such as revisions and tokens.
-type Highest struct{ value uint64 }
-
-// Value returns the highest number seen.
-func (h *Highest) Value() uint64 { return h.value }
-
-// See takes in a number that was just read. It tells of one below those before.
-func (h *Highest) See(kind Kind, key string, found uint64) (Loss, bool) {
-	if found < h.value {
-		return Loss{Kind: kind, Key: key, Known: h.value, Found: found}, true
-	}
-	h.value = found
-	return Loss{}, false
-}
-
-// Raise takes in a number that may be older than the newest, such as that of a watch: it
-// tells of nothing if it is lower.
-func (h *Highest) Raise(found uint64) { h.value = max(h.value, found) }
-
-// Reset starts anew from a number, after its predecessors were found to be lost.
-func (h *Highest) Reset(to uint64) { h.value = to }
-
 // Segment is a segment of the assignment log as it was read.
 type Segment struct {
 	Key    string
--- a/internal/loss/loss_test.go
+++ b/internal/loss/loss_test.go
@@ -49,21 +49,31 @@
 func TestNumbersThatGoBack(t *testing.T) {
 	var seen Highest
 	for _, n := range []uint64{0, 3, 3, 9} {
-		if l, back := seen.See(RevisionBack, "", n); back {
+		if l, back := seen.See(seen.Ask(), RevisionBack, "", n); back {
 			t.Errorf("%d: %v", n, l)
 		}
 	}
-	l, back := seen.See(RevisionBack, "", 7)
+	before := seen.Ask()
+	l, back := seen.See(seen.Ask(), RevisionBack, "", 7)
 	if !back || l.Known != 9 || l.Found != 7 || l.String() != "revision back (known 9, found 7)" {
 		t.Errorf("7 after 9: %v %v", l, back)
 	}
-	seen.Reset(7)
-	if _, back := seen.See(RevisionBack, "", 8); back || seen.Value() != 8 {
+	if _, again := seen.See(before, RevisionBack, "", 7); again {
+		t.Error("an answer to a request from before told of the same loss once more")
+	}
+	if seen.Raise(before, 9) {
+		t.Error("what was asked for before the loss counts after it")
+	}
+	if _, back := seen.See(seen.Ask(), RevisionBack, "", 8); back || seen.Value() != 8 {
 		t.Error("still compared with what is lost")
 	}
-	seen.Raise(5)
-	seen.Raise(12)
-	if l, back := seen.See(RevisionBack, "", 11); !back || l.Known != 12 {
+	asked := seen.Ask()
+	seen.Raise(asked, 5)
+	seen.Raise(asked, 12)
+	if l, back := seen.See(asked, RevisionBack, "", 11); back {
+		t.Errorf("judged by what was not known when it was asked for: %v", l)
+	}
+	if l, back := seen.See(seen.Ask(), RevisionBack, "", 11); !back || l.Known != 12 {
 		t.Error("what a watch had shown was forgotten")
 	}
 	if PlausibleToken(1<<63, 5) || !PlausibleToken(900, 5) || !PlausibleToken(3, 5) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -205,6 +205,7 @@
 	duties.Go(func() { n.cache.Run(ctx) })
 	duties.Go(func() { n.tellLosses(ctx) })
 	duties.Go(func() { n.becomeSure(ctx) })
+	duties.Go(func() { n.staySure(ctx) })
 	duties.Go(func() { n.cache.Audit(ctx, n.d.Audit, n.d.AuditPause) })
 	duties.Go(func() { n.memory.watch(ctx, n.d.TermRenew) })
 	duties.Go(func() {
--- a/internal/node/recovery.go
+++ b/internal/node/recovery.go
@@ -112,45 +112,85 @@
 // word does, or in the end the time that most outages last.
 func (n *Node) becomeSure(ctx context.Context) {
 	for time.Since(n.born) < n.d.Cancel && !n.cache.Settled() {
-		if known, all := n.askOthers(ctx); all && n.cache.Listed() {
-			n.cache.Expect(known, false)
+		others, err := n.askOthers(ctx)
+		switch {
+		case err != nil:
+		case others.noticed != "":
+			n.losses.notice(loss.Loss{Kind: loss.ReportedByPeer, Key: others.noticed})
+		case n.cache.Listed() && !n.wasPutBack(ctx, others.newest):
+			n.cache.Expect(others.known, false)
 		}
-		select {
-		case <-ctx.Done():
+		if !n.sleep(ctx, n.d.TermRenew/2) {
 			return
-		case <-time.After(n.d.TermRenew / 2):
 		}
 	}
 	n.cache.BeSure()
 }
 
-// askOthers asks all other controllers how many jobs they know, and tells whether all have
-// answered and none has noticed a loss. Should the state service be at an older revision than
-// one of them has read, it was put back.
-func (n *Node) askOthers(ctx context.Context) (known int, all bool) {
+// staySure asks all other controllers after each outage of the state service whether that
+// was put back in it: a node that read nothing of what was lost would not notice. Where one
+// does not answer, the time that most outages last has to do.
+func (n *Node) staySure(ctx context.Context) {
+	unsureSince := time.Time{}
+	for n.sleep(ctx, n.d.TermRenew/2) {
+		if n.cache.Confirmed() || n.store.Failing() {
+			unsureSince = time.Time{}
+			continue
+		}
+		if unsureSince.IsZero() {
+			unsureSince = time.Now()
+		}
+		outages := n.store.Outages()
+		others, err := n.askOthers(ctx)
+		heard := err == nil && others.noticed == "" && !n.wasPutBack(ctx, others.newest)
+		if heard || time.Since(unsureSince) > n.d.Cancel {
+			n.cache.Confirm(outages)
+		}
+	}
+}
+
+// sleep waits; it returns false if the context has ended.
+func (n *Node) sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// othersKnow is what all other controllers have said of the records.
+type othersKnow struct {
+	known   int    // the most jobs that one of them knows
+	newest  uint64 // the newest revision that one of them has seen
+	noticed string // one that has noticed a loss
+}
+
+// askOthers asks all other controllers what they know. It fails unless all answer.
+func (n *Node) askOthers(ctx context.Context) (others othersKnow, err error) {
 	ctx, cancel := context.WithTimeout(ctx, n.d.TermRenew)
 	defer cancel()
-	newest := uint64(0)
 	for _, name := range n.hub.Peers() {
 		page, err := n.hub.AskLost(ctx, name, peer.Question{})
-		switch {
-		case err != nil:
-			return 0, false
-		case page.Noticed:
-			n.losses.notice(loss.Loss{Kind: loss.ReportedByPeer, Key: name})
-			return 0, false
+		if err != nil {
+			return othersKnow{}, err
+		}
+		if page.Noticed {
+			others.noticed = name
 		}
-		known, newest = max(known, page.Known), max(newest, page.Newest)
+		others.known, others.newest = max(others.known, page.Known), max(others.newest, page.Newest)
 	}
+	return others, nil
+}
+
+// wasPutBack tells whether the state service is at an older revision than another controller
+// had seen before, or does not tell.
+func (n *Node) wasPutBack(ctx context.Context, newest uint64) bool {
 	now, err := n.store.Revision(ctx)
-	if err != nil {
-		return 0, false
-	}
-	if now < newest {
+	if err == nil && now < newest {
 		n.losses.notice(loss.Loss{Kind: loss.RevisionBack, Known: newest, Found: now})
-		return 0, false
 	}
-	return known, true
+	return err != nil || now < newest
 }
 
 // recoveryHandlers serve operators: the state of a recovery, parts of a snapshot, and
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -73,7 +73,8 @@
 	writes *rate.Limiter
 	reqs   *rate.Limiter
 
-	failing atomic.Bool // the last request that tells had no good answer
+	failing atomic.Bool   // the last request that tells had no good answer
+	outages atomic.Uint64 // how often that began
 }
 
 // Failing tells whether the service has stopped answering this node.
@@ -82,6 +83,16 @@
 // Budget is this node's part of what the state service takes from all.
 type Budget struct{ Requests, Writes float64 }
 
+// Outages returns how often the service has stopped answering this node.
+func (c *Client) Outages() uint64 { return c.outages.Load() }
+
+// failed notes a request without a good answer.
+func (c *Client) failed() {
+	if !c.failing.Swap(true) {
+		c.outages.Add(1)
+	}
+}
+
 // New makes a client on a transport. Each request waits for at most wait.
 func New(addr string, rt http.RoundTripper, wait time.Duration, b Budget) *Client {
 	return &Client{
@@ -128,12 +139,12 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		c.failing.Store(true)
+		c.failed()
 		return 0, fmt.Errorf("%w: %w", ErrUnknown, err)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode == http.StatusServiceUnavailable {
-		c.failing.Store(true)
+		c.failed()
 	} else if !strings.HasPrefix(path, "/watch") {
 		c.failing.Store(false) // an open watch ends in an outage, too
 	}
--- a/internal/term/campaign.go
+++ b/internal/term/campaign.go
@@ -116,12 +116,12 @@
 }
 
 func (k *Keeper) read(ctx context.Context) (stored, error) {
+	asked := k.newest.Ask()
 	pairs, revision, err := k.store.List(ctx, prefix)
 	if err != nil {
 		return stored{}, err
 	}
-	if e, back := k.newest.See(loss.RevisionBack, prefix, revision); back {
-		k.newest.Reset(revision)
+	if e, back := k.newest.See(asked, loss.RevisionBack, prefix, revision); back {
 		k.Lost(e)
 	}
 	s := stored{revision: revision}
