Reconcile: one pure package decides what a machine's picture means; take-overs have phases

What is stored, reported or on its way was compared in load, observe, orders, report and tick, each in its own words; nobody could see how far a take-over is.

Change: internal/reconcile gives a typed decision with a reason for each task on a machine, and follows a take-over (reading, hearing, settled); control carries the decisions out. Status, metrics and a log line tell machines heard, late, never, and commands by reason. Until machines that are well have reported, others are stopped only for what would outwait its bound.

--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -11,6 +11,7 @@
 	"ospreyslip/internal/jobs"
 	"ospreyslip/internal/liveness"
 	"ospreyslip/internal/placement"
+	"ospreyslip/internal/reconcile"
 	"ospreyslip/internal/settings"
 	"ospreyslip/internal/state"
 	"ospreyslip/internal/term"
@@ -40,7 +41,8 @@
 // Leader is one term's work.
 type Leader struct {
 	Deps
-	term term.Term
+	term     term.Term
+	takeover *reconcile.Takeover
 
 	reports chan reportIn
 	events  chan func(now time.Time) // outcomes of I/O, applied by the one goroutine
@@ -134,7 +136,7 @@
 // newLeader makes a leader that knows of nothing yet.
 func newLeader(d Deps, t term.Term) *Leader {
 	l := &Leader{
-		Deps: d, term: t,
+		Deps: d, term: t, takeover: reconcile.NewTakeover(t.Since, d.Derived.Overdue),
 		reports: make(chan reportIn, 16), events: make(chan func(time.Time), 64), quit: make(chan struct{}),
 		view:         view{jobs: map[string]*job{}, machines: newMachineSet(), used: map[string]placement.Amount{}, unseen: map[string]uint64{}},
 		tokens:       tokens{token: t.Token, tokenRevision: t.TokenRevision, doubtful: map[*machine]bool{}},
--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -9,6 +9,7 @@
 
 	"ospreyslip/internal/gang"
 	"ospreyslip/internal/jobs"
+	"ospreyslip/internal/reconcile"
 	"ospreyslip/internal/state"
 )
 
@@ -80,6 +81,7 @@
 	l.raisedAt = now
 	l.listSyncAt = now.Add(2 * l.Derived.ListLag)
 	l.seen.Store(after)
+	l.takeover.RecordsRead(time.Now())
 	slog.Info("records read", "term", l.token, "jobs", len(l.jobs), "ended", over, "machines", len(l.machines.all))
 	return after, nil
 }
@@ -146,11 +148,12 @@
 	for _, p := range l.log.segments {
 		for _, attempt := range sorted(p.begun) {
 			a := p.begun[attempt]
-			switch {
-			case a.job.isDone(a.n):
+			switch d := reconcile.OfRecord(l.attemptFacts(a, now), a.job.isDone(a.n), a.m.session, a.m.leaseUntil); d.Action {
+			case reconcile.Complete:
 				l.conclude(a, success)
-			case a.session < a.m.session:
-				l.conclude(a, retry) // its session was over when a later one was recorded
+			case reconcile.Restart:
+				l.conclude(a, retry)
+			default: // its machine is heard first
 			}
 		}
 	}
@@ -184,6 +187,7 @@
 		m.phase, m.leaseUntil = up, now.Add(l.Derived.LeaseOver)
 		l.machines.add(m)
 		l.watch.Restore(m.id, b.Zone, now)
+		l.takeover.Expect(m.id)
 	}
 	m.addr, m.typ, m.zone, m.spot = b.Addr, b.Type, b.Zone, b.Spot
 	m.session = max(m.session, b.Session)
--- a/internal/control/observe.go
+++ b/internal/control/observe.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"ospreyslip/internal/gang"
+	"ospreyslip/internal/reconcile"
 	"ospreyslip/internal/workers"
 )
 
@@ -16,12 +17,6 @@
 		return false
 	}
 	if r.Session > m.session {
-		// The lease ran out in between: the worker killed all tasks it had.
-		for _, a := range m.assigned {
-			if a.session < r.Session {
-				l.conclude(a, retry)
-			}
-		}
 		// The answer to an order or a call may tell of the new session before the end
 		// of the old one is over by our clock, which counts from when a report arrived.
 		// What begins in the new one may run for a whole lease from now.
@@ -40,35 +35,59 @@
 		}
 	}
 	for _, a := range m.assigned {
-		if a.outcome != open || a.session != r.Session {
+		if a.outcome != open {
 			continue
 		}
-		t := taskIn(r, a.ref())
-		if t == nil {
-			l.absent(a, r.Token)
-			continue
+		p := reconcile.Picture{Session: r.Session, Token: r.Token}
+		if a.session == r.Session {
+			p.Task = taskIn(r, a.ref())
 		}
-		// One run is sent in one order only, so that one seen is one used up.
-		a.doubt, a.sent = 0, true
-		if a.seen != t.State {
-			slog.Debug("task seen", "task", t.Task, "machine", m.id, "term", l.token, "state", t.State)
-			switch t.State {
-			case workers.Running:
-				if a.seen == workers.Fetching || a.seen == workers.Gathering || !a.restored {
-					a.since = now
-				}
-				m.used(a.job.spec, l.cacheGB(m))
-			case workers.Gathering:
-				m.used(a.job.spec, l.cacheGB(m))
-			}
-			l.see(a, t.State)
-			l.show(a.job)
+		l.pictured(a, p, reconcile.Observe(l.attemptFacts(a, now), p), now)
+	}
+	return true
+}
+
+// pictured carries out what a picture means for an assignment.
+func (l *Leader) pictured(a *assignment, p reconcile.Picture, d reconcile.Decision, now time.Time) {
+	if p.Task != nil {
+		l.present(a, p.Task, now)
+	}
+	switch d.Action {
+	case reconcile.Complete:
+		l.completed(a, now)
+	case reconcile.Begin:
+		a.doubt, a.sent = 0, false
+		l.see(a, "")
+	case reconcile.Restart:
+		if p.Task != nil {
+			l.blame(a, p.Task, now)
+		} else {
+			a.doubt, a.sent = 0, false
 		}
-		if t.State == workers.Ended {
-			l.ended(a, t, now)
+		l.conclude(a, retry)
+	default: // it goes on, or nothing is certain
+	}
+}
+
+// present takes in the state of an assignment's task on its machine.
+func (l *Leader) present(a *assignment, t *workers.Task, now time.Time) {
+	// One run is sent in one order only, so that one seen is one used up.
+	a.doubt, a.sent = 0, true
+	if a.seen == t.State {
+		return
+	}
+	slog.Debug("task seen", "task", t.Task, "machine", a.m.id, "term", l.token, "state", t.State)
+	switch t.State {
+	case workers.Running:
+		if a.seen == workers.Fetching || a.seen == workers.Gathering || !a.restored {
+			a.since = now
 		}
+		a.m.used(a.job.spec, l.cacheGB(a.m))
+	case workers.Gathering:
+		a.m.used(a.job.spec, l.cacheGB(a.m))
 	}
-	return true
+	l.see(a, t.State)
+	l.show(a.job)
 }
 
 func taskIn(r *workers.Report, of ref) *workers.Task {
@@ -80,29 +99,21 @@
 	return nil
 }
 
-// absent judges an assignment that the newest picture does not show.
-func (l *Leader) absent(a *assignment, token uint64) {
-	if !a.durable || a.ordered || a.doubt != 0 && token <= a.doubt {
-		return // it may be on its way
-	}
-	a.doubt, a.sent = 0, false
-	l.see(a, "")
-	if a.job.over() || a.stop {
-		l.conclude(a, retry)
-	}
+// completed takes in that a task is done.
+func (l *Leader) completed(a *assignment, now time.Time) {
+	a.job.errors, a.job.served = 0, now
+	clear(a.m.failures)
+	l.ran(a, now)
+	l.conclude(a, success)
 }
 
-func (l *Leader) ended(a *assignment, t *workers.Task, now time.Time) {
+// blame finds out whether a task that ended without being done says something against its
+// machine or its job.
+func (l *Leader) blame(a *assignment, t *workers.Task, now time.Time) {
 	j, m := a.job, a.m
-	switch {
-	case t.Cause == workers.CauseDone && j.spec.Ends():
-		j.errors, j.served = 0, now
-		clear(m.failures)
-		l.ran(a, now)
-		l.conclude(a, success)
-		return
-	case t.Cause == workers.CauseStopped, t.Cause == workers.CauseMatesGone, t.Cause == workers.CauseIncomplete:
-	case t.Cause == workers.CauseError:
+	switch t.Cause {
+	case workers.CauseStopped, workers.CauseMatesGone, workers.CauseIncomplete:
+	case workers.CauseError:
 		// Mostly the machine's fault. A job that fails on several machines in
 		// a row is its user's mistake: it goes on being tried, ever more rarely.
 		j.errors++
@@ -123,7 +134,6 @@
 		}
 	}
 	slog.Debug("task ended", "task", a.name(), "machine", m.id, "term", l.token, "reason", t.Cause)
-	l.conclude(a, retry)
 }
 
 // avoidFor keeps a job off a machine for a while.
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -64,6 +64,7 @@
 			continue
 		}
 		l.ordersInFlight++
+		l.takeover.Ordered(now)
 		m.orderBusy = true
 		l.watch.Called(m.id)
 		order := workers.Order{Token: token, Session: m.session, Calls: calls}
--- a/internal/control/queue.go
+++ b/internal/control/queue.go
@@ -116,6 +116,7 @@
 	if j.spec.Shape == jobs.Batch && j.spec.CheckpntS == 0 && p.DueS < placement.NoDeadline {
 		p.Fragile = p.DueS < 2*l.runS(j.spec)
 	}
+	p.AwaitsRoom = !l.mayPreempt(j, now)
 	p.Keep = j.isGang() && now.Sub(j.whole).Seconds() < keepShare*l.runS(j.spec)
 	p.Clearing = now.Sub(j.clearing) < l.Derived.Lasting
 	if p.Overdue = l.overdue(j, now); p.Overdue > 0 && j.isGang() {
--- a/internal/control/report.go
+++ b/internal/control/report.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"ospreyslip/internal/jobs"
+	"ospreyslip/internal/reconcile"
 	"ospreyslip/internal/workers"
 )
 
@@ -41,8 +42,11 @@
 		// Sent before the worker heard of this term, or a copy of such a report
 		// that was under way for any length of time. It proves nothing; the
 		// answer brings the token, and with it a report that does.
+		l.takeover.Answered(now)
 		return &workers.Answer{Token: l.term.Token, Calls: l.stopsOfCancelled(r)}
 	}
+	l.takeover.Answered(now)
+	l.takeover.Heard(r.Machine)
 	if m == nil {
 		m = newMachine(r.Machine, now)
 		m.typ, m.zone, m.spot, m.addr = r.Type, r.Zone, r.Spot, r.Addr
@@ -76,8 +80,8 @@
 	calls := []workers.Call{}
 	for _, t := range r.Tasks {
 		id, _, ok := workers.SplitTask(t.Task)
-		if ok && l.isCancelled(id) && t.State != workers.Ended {
-			calls = append(calls, stopCall(t.Task, t.Attempt, 0))
+		if d := reconcile.OfEarlierReport(&t, ok && l.isCancelled(id)); d.Action == reconcile.Stop {
+			calls = append(calls, l.tell(stopCall(t.Task, t.Attempt, 0), d))
 		}
 	}
 	return calls
@@ -155,39 +159,42 @@
 	if m.phase == returning {
 		return calls
 	}
+	now := time.Now()
 	for _, a := range m.assigned {
-		if a.outcome != open || !a.durable || a.session != m.session {
+		if a.outcome != open || a.session != m.session {
 			continue
 		}
-		switch {
-		case a.job.over() && a.seen != "":
-			calls = append(calls, stopCall(a.name(), a.onWire(), 0))
-		case a.stop && a.seen != "":
-			if a.seen != workers.Saving {
-				calls = append(calls, stopCall(a.name(), a.onWire(), a.grace))
-			}
-		case a.job.over() || a.stop:
-		case a.restored && a.seen == "" && l.awaitsWorkers(a.job, time.Now()):
-			// The log may be older than it was: the task may be over, or be elsewhere.
-		case a.seen == "" && !a.sent && !a.ordered && a.doubt == 0 && a.mayRun():
+		switch d := reconcile.Command(l.attemptFacts(a, now)); d.Action {
+		case reconcile.Stop:
+			calls = append(calls, l.tell(stopCall(a.name(), a.onWire(), d.GraceS), d))
+		case reconcile.Begin:
 			a.sent, a.ordered = true, !answer
-			calls = append(calls, workers.Call{Op: workers.OpRun, Task: a.name(), Attempt: a.onWire()})
+			calls = append(calls, l.tell(workers.Call{Op: workers.OpRun, Task: a.name(), Attempt: a.onWire()}, d))
+		default: // it goes on, or has to wait
 		}
 	}
+	return l.unassignedCalls(m, calls, answer)
+}
+
+// unassignedCalls adds what the worker should do with tasks that are not assigned to it.
+func (l *Leader) unassignedCalls(m *machine, calls []workers.Call, answer bool) []workers.Call {
 	var held heldEnds
 	for _, t := range m.reportedTasks {
 		if m.find(refOf(&t)) != nil {
 			continue // its end is not durable yet
 		}
-		switch {
-		case l.accountsFor(m, &t):
-			// Its job may have been lost: it is neither stopped nor cleared.
-		case t.State != workers.Ended:
-			calls = append(calls, stopCall(t.Task, t.Attempt, 0))
-		case m.ordered[refOf(&t)] >= m.token:
-			held.add(&t, m.ordered[refOf(&t)], l.mayRunAgain(&t))
-		case answer:
-			calls = append(calls, workers.Call{Op: workers.OpClear, Task: t.Task, Attempt: t.Attempt})
+		id, _, _ := workers.SplitTask(t.Task)
+		facts := reconcile.Unassigned{
+			Ended: t.State == workers.Ended, JobCancelled: l.isCancelled(id), MaybeLost: l.accountsFor(m, &t),
+			OrderToken: m.ordered[refOf(&t)], ShownToken: m.token, Answering: answer,
+		}
+		switch d := facts.Command(); {
+		case d.Action == reconcile.Stop:
+			calls = append(calls, l.tell(stopCall(t.Task, t.Attempt, 0), d))
+		case d.Action == reconcile.Clear:
+			calls = append(calls, l.tell(workers.Call{Op: workers.OpClear, Task: t.Task, Attempt: t.Attempt}, d))
+		case d.Reason == reconcile.TokenNotShown:
+			held.add(&t, facts.OrderToken, l.mayRunAgain(&t))
 		}
 	}
 	m.wantsToken = held.wantToken()
--- a/internal/control/returns.go
+++ b/internal/control/returns.go
@@ -58,6 +58,7 @@
 		l.lost(m, "machine given back")
 		l.watch.Forget(id)
 		l.machines.remove(m)
+		l.takeover.Gone(id)
 		// Reports, too, may arrive long after their machine is gone.
 		l.returned[id] = now.Add(4 * l.Derived.Cancel)
 	}
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -5,6 +5,8 @@
 	"context"
 	"slices"
 	"time"
+
+	"ospreyslip/internal/reconcile"
 )
 
 // Status is the leader's view, for operators.
@@ -18,6 +20,8 @@
 	Machines   []MachineStatus `json:"machines"`
 	Classes    []ClassStatus   `json:"classes"`
 	Teams      []TeamStatus    `json:"teams"`
+	// Takeover is how far this leader is with finding out what runs.
+	Takeover reconcile.Progress `json:"takeover"`
 }
 
 // MachineStatus is one machine.
@@ -79,6 +83,7 @@
 		Held: l.watch.Held(now), Disrupted: l.watch.Disrupted(),
 		WriteQueue: len(l.finished) + len(l.log.begins) + len(l.log.ends) + len(l.log.chunks),
 		Machines:   []MachineStatus{}, Classes: []ClassStatus{}, Teams: []TeamStatus{},
+		Takeover: l.takeover.Progress(now),
 	}
 	for _, m := range l.machines.all {
 		s.Machines = append(s.Machines, MachineStatus{
--- /dev/null
+++ b/internal/control/takeover.go
@@ -0,0 +1,63 @@
+package control
+
+import (
+	"log/slog"
+	"time"
+
+	"ospreyslip/internal/jobs"
+	"ospreyslip/internal/reconcile"
+	"ospreyslip/internal/workers"
+)
+
+// attemptFacts is an assignment as the reconcile package sees it.
+func (l *Leader) attemptFacts(a *assignment, now time.Time) reconcile.Attempt {
+	j := a.job
+	return reconcile.Attempt{
+		Session: a.session, Durable: a.durable, Ordered: a.ordered, Sent: a.sent, DoubtToken: a.doubt, Seen: a.seen,
+		Ends: j.spec.Ends(), JobOver: j.over(), JobCancelled: j.cancelled, Stopping: a.stop, GraceS: a.grace,
+		GangWhole: a.mayRun(),
+		// The log may be older than it was: the task may be over, or be elsewhere.
+		Incomplete: a.restored && a.seen == "" && l.awaitsWorkers(j, now),
+	}
+}
+
+// tell counts a command to a worker.
+func (l *Leader) tell(c workers.Call, d reconcile.Decision) workers.Call {
+	l.takeover.Told(c.Op, d.Reason)
+	return c
+}
+
+// settleTakeover notes when every machine that the records name is accounted for.
+func (l *Leader) settleTakeover(now time.Time) {
+	if !l.takeover.Settle(now) {
+		return
+	}
+	p := l.takeover.Progress(now)
+	slog.Info("take-over settled", "term", l.token, "afterS", p.SettledS, "machines", p.Expected, "heard", p.Heard,
+		"never", p.Never, "answerS", p.AnswerS, "orderS", p.OrderS, "commands", p.Commands)
+	l.replan = true
+}
+
+// mayPreempt tells whether others may be stopped for a job. In a take-over, machines that
+// are about to report may have room enough: only what would wait for too long does not wait
+// for them.
+func (l *Leader) mayPreempt(j *job, now time.Time) bool {
+	return l.takeover.MayPreempt(now, j.served, l.preemptionBound(j))
+}
+
+// preemptionBound is for how long a job waits in a take-over before others are stopped for
+// it: part of the time in which its users, or its team, expect it to start. A production
+// service waits no longer than machines take that report by themselves. What nobody expects
+// to start by a time waits until the machines that have not reported are late.
+func (l *Leader) preemptionBound(j *job) time.Duration {
+	bound := l.Derived.Overdue
+	if j.spec.Priority == jobs.Prod {
+		bound = l.Derived.AnnounceAfter
+	}
+	for _, o := range l.Settings.Deployment.Objectives {
+		if o.Kind == "wait" && o.Class == j.spec.Class || o.Kind == "guarantee" && j.covered && j.spec.Shape == jobs.Batch {
+			bound = min(bound, times(time.Second, patientShare*o.WithinS))
+		}
+	}
+	return bound
+}
--- a/internal/control/tick.go
+++ b/internal/control/tick.go
@@ -7,6 +7,7 @@
 
 	"ospreyslip/internal/jobs"
 	"ospreyslip/internal/liveness"
+	"ospreyslip/internal/reconcile"
 	"ospreyslip/internal/workers"
 )
 
@@ -48,11 +49,13 @@
 		if m.phase == booting {
 			continue
 		}
-		if now.Before(m.leaseUntil) {
-			l.expireAt = earlier(l.expireAt, m.leaseUntil)
+		d := reconcile.Unheard(m.leaseUntil, now)
+		if d.Action == reconcile.Wait {
+			l.expireAt = earlier(l.expireAt, d.Until)
 			continue
 		}
-		l.lost(m, "worker lease over")
+		l.lost(m, string(d.Reason))
+		l.takeover.Gone(m.id)
 		// Whatever still comes from the old session is out of date.
 		if m.session != 0 {
 			m.session, m.seq, m.reportedTasks = m.session+1, 0, nil
@@ -87,6 +90,7 @@
 		return
 	}
 	l.expire(now)
+	l.settleTakeover(now)
 	l.doubts(now)
 	l.tickGroup = (l.tickGroup + 1) % ticksPerInterval
 	for m := range l.machines.groups[l.tickGroup] {
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"ospreyslip/internal/control"
+	"ospreyslip/internal/reconcile"
 )
 
 // Status is what a node tells its operators.
@@ -69,6 +70,10 @@
 	heldJobsDesc  = desc("recovery_held_jobs", "Jobs that are held until it is known what became of them.")
 	comparingDesc = desc("recovery_phase", "1 for the present phase of a recovery.", "phase")
 	evidenceDesc  = desc("recovery_evidence", "Evidence of lost records under this leader.", "kind")
+	takeoverDesc  = desc("takeover_phase", "1 for the present phase of the leader's take-over.", "phase")
+	accountedDesc = desc("takeover_machines", "Machines that the records named when the term began, by what became of them.", "state")
+	commandsDesc  = desc("takeover_commands", "Commands to workers until the take-over was settled.", "op", "reason")
+	reachedDesc   = desc("takeover_seconds", "Time from the begin of the term to a moment of the take-over.", "moment")
 	teamDesc      = desc("team_cpus", "CPUs that a team's tasks take.", "team")
 )
 
@@ -118,6 +123,23 @@
 	for _, t := range s.View.Teams {
 		gauge(teamDesc, t.CPUs, t.Team)
 	}
+	collectTakeover(gauge, s.View.Takeover)
+}
+
+// collectTakeover shows how far the leader's take-over is.
+func collectTakeover(gauge func(*prometheus.Desc, float64, ...string), p reconcile.Progress) {
+	gauge(takeoverDesc, 1, string(p.Phase))
+	for state, count := range map[string]int{"expected": p.Expected, "heard": p.Heard, "late": p.Late, "never": p.Never} {
+		gauge(accountedDesc, float64(count), state)
+	}
+	for moment, after := range map[string]float64{"records_read": p.ReadS, "first_answer": p.AnswerS, "first_order": p.OrderS, "settled": p.SettledS} {
+		if after > 0 {
+			gauge(reachedDesc, after, moment)
+		}
+	}
+	for _, c := range p.Commands {
+		gauge(commandsDesc, float64(c.Count), c.Op, string(c.Reason))
+	}
 }
 
 // handed is a listener whose connections are handed to it.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -22,6 +22,7 @@
 	StartS     float64        // seconds left to its aim to start; 0 without one
 	Patient    bool           // others need not yet stop for its guarantee
 	Fragile    bool           // a task that loses its machine will be late
+	AwaitsRoom bool           // machines about to report may have room: nothing is stopped for it
 
 	// Clearing is set for a gang for which room is being made: it goes ahead of all but
 	// production. (Else what goes before it takes that room, task by task, and is
--- a/internal/placement/preemption.go
+++ b/internal/placement/preemption.go
@@ -101,6 +101,9 @@
 // mayMakeRoom tells whether a search for victims can find any: it goes through
 // all machines, and mostly there is nothing of lower priority.
 func (in *Input) mayMakeRoom(j *Job) bool {
+	if j.AwaitsRoom {
+		return false
+	}
 	return in.Least < j.Spec.Rank() || in.mayReclaim(j) && slices.ContainsFunc(in.Teams, func(t settings.Team) bool {
 		return t.Name != j.Spec.Team && in.beyond(t.Name)
 	})
