--- a/internal/control/recovery_adopt.go
+++ b/internal/control/recovery_adopt.go
@@ -44,7 +44,7 @@
 	switch {
 	case l.phase == Comparing && now.Before(l.workersBy):
 		return true
-	case l.phase == Restoring && l.leastRank() <= rankToRun && len(l.unwritten) > 0:
+	case l.phase == Restoring && (l.recording || l.leastRank() <= rankToRun && len(l.unwritten) > 0):
 		return true
 	}
 	for j := range l.adopting {
--- a/internal/control/recovery_compare.go
+++ b/internal/control/recovery_compare.go
@@ -50,8 +50,14 @@
 // isPlain tells whether nothing needs to be known of a lost job but that it is over, as this
 // node's cache has it. There may be hundreds of thousands of those.
 func (l *Leader) isPlain(lost jobs.Lost) bool {
+	return lost.Found == "" && l.isOverHere(lost)
+}
+
+// isOverHere tells whether a lost job is over, as this node's cache has it, and this leader
+// has nothing else to do with it.
+func (l *Leader) isOverHere(lost jobs.Lost) bool {
 	over := lost.State == jobs.Done || lost.State == jobs.Cancelled
-	return over && lost.Revision == 0 && l.jobs[lost.ID] == nil && l.held[lost.ID] == nil
+	return over && l.jobs[lost.ID] == nil && l.held[lost.ID] == nil
 }
 
 // knownAlike tells whether a peer says no more of a job than this node's cache, which has it
--- a/internal/control/recovery_write.go
+++ b/internal/control/recovery_write.go
@@ -63,7 +63,9 @@
 	page, more := l.Cache.Lost(l.plainAfter, lostPageRows)
 	for _, lost := range page {
 		l.plainAfter = lost.ID
-		if _, open := l.knowledge[lost.ID]; open || !l.isPlain(lost) {
+		// One whose record says less may have been without any when it was compared.
+		contradicted := lost.Found == jobs.Done || lost.Found == jobs.Cancelled
+		if _, open := l.knowledge[lost.ID]; open || contradicted || !l.isOverHere(lost) {
 			continue
 		}
 		l.learn(lost.ID, recovery.FromCache(l.Node), lost.State, lost.Tasks, nil)
@@ -248,6 +250,10 @@
 	if r.decision.Held || r.decision.Outcome == recovery.Contradictory {
 		l.held[r.id] = &heldJob{revision: rev, why: string(r.decision.Rule), sinceMs: now.UnixMilli(), known: k}
 	}
+	if !r.decision.Final() && !r.decision.Held {
+		// Its tasks count from now on, not only when the watch shows its record.
+		l.jobChanged(state.Change{Set: jobs.RecordKey(r.id), Value: r.value, Revision: rev}, now)
+	}
 }
 
 // writeStatus leaves word that records are being compared, before anything else is done.
--- a/internal/jobs/cache.go
+++ b/internal/jobs/cache.go
@@ -42,6 +42,7 @@
 	keep       int            // so many of them, at least
 	dropped    uint64         // up to this revision some may be missing
 	losses     losses
+	witnesses  witnesses
 	newest     loss.Highest // revision that was read or written
 	// Owned by Run.
 	whole    bool
@@ -154,6 +155,9 @@
 // service does not serve this node: the revision, read first, is what it has to
 // reach.
 func (m *Cache) read(ctx context.Context) error {
+	if err := m.checkWitnesses(ctx); err != nil {
+		return err
+	}
 	if m.whole {
 		request := m.newest.Ask()
 		least, err := m.store.Revision(ctx)
@@ -260,6 +264,7 @@
 	}
 	now, evidence := merge(old, found)
 	m.jobs.set(id, now)
+	m.witnesses.add(id, found.revision)
 	m.describe(id, now, value)
 	if evidence != "" {
 		was := m.note(lostEntry{strings.Clone(id), found.state})
--- a/internal/jobs/lost_test.go
+++ b/internal/jobs/lost_test.go
@@ -240,3 +240,32 @@
 		}
 	})
 }
+
+// The service is put back in an outage, and new changes overtake the old ones before this
+// node reads again: its revision tells nothing, the newest records that are known do.
+func TestPutBackAndOvertaken(t *testing.T) {
+	withCache(t, func(c *cached) {
+		seen := c.evidence()
+		c.fill()
+		before := c.store.Backup()
+		c.write("j-50", jobs.Queued)
+		c.write("j-51", jobs.Cancelled)
+		c.want("j-51", jobs.Cancelled, "known")
+		c.store.Down(true)
+		c.want("j-50", "503", "an outage")
+		c.store.Restore(before)
+		c.store.Down(false)
+		for i := range 4 {
+			c.write(fmt.Sprintf("j-6%d", i), jobs.Queued)
+		}
+		c.want("j-60", jobs.Queued, "served again")
+		if seen.count(loss.RevisionBack) != 1 {
+			t.Errorf("evidence: %v", seen.kinds)
+		}
+		c.want("j-51", jobs.Cancelled, "its user was told")
+		c.wantLost("put back", "j-50 queued", "j-51 aborted")
+		if time.Since(c.m.WitnessesChecked()) < time.Minute {
+			t.Error("the newest that is known was not found in the records")
+		}
+	})
+}
--- a/internal/jobs/verify.go
+++ b/internal/jobs/verify.go
@@ -32,11 +32,7 @@
 		return false
 	}
 	slog.Error("state service put back", "known", l.Known, "found", l.Found)
-	m.whole = false
-	m.mu.Lock()
-	m.jobs.forgetRevisions(found)
-	m.losses.putBack = true // until the leader says that it is made good
-	m.mu.Unlock()
+	m.forgetAllRevisions(found)
 	m.tell(l)
 	return true
 }
--- a/internal/node/recovery.go
+++ b/internal/node/recovery.go
@@ -72,7 +72,12 @@
 // state service. In a new round, all records are compared with that first.
 func (n *Node) lostPage(q peer.Question) peer.LostPage {
 	if q.Round == 0 {
-		return peer.LostPage{Ready: true, Known: n.cache.Jobs(), Newest: n.cache.Newest(), Noticed: n.cache.Suspected() || n.cache.LostJobs() > 0}
+		// Who asks compares with what this node knows: that has to be in the records still.
+		fresh := time.Since(n.cache.WitnessesChecked()) < n.d.TermRenew
+		if !fresh {
+			n.cache.CheckWitnesses()
+		}
+		return peer.LostPage{Ready: fresh, Known: n.cache.Jobs(), Newest: n.cache.Newest(), Noticed: n.cache.Suspected() || n.cache.LostJobs() > 0}
 	}
 	n.losses.mu.Lock()
 	if n.losses.round != q.Round {
@@ -131,19 +136,23 @@
 // was put back in it: a node that read nothing of what was lost would not notice. Where one
 // does not answer, the time that most outages last has to do.
 func (n *Node) staySure(ctx context.Context) {
-	unsureSince := time.Time{}
+	var servedSince time.Time // since the last outage; zero if nothing is to be found out
 	for n.sleep(ctx, n.d.TermRenew/2) {
 		if n.cache.Confirmed() || n.store.Failing() {
-			unsureSince = time.Time{}
+			servedSince = time.Time{}
 			continue
 		}
-		if unsureSince.IsZero() {
-			unsureSince = time.Now()
+		if servedSince.IsZero() {
+			servedSince = time.Now()
+		}
+		if time.Since(servedSince) < n.d.TermRenew {
+			n.cache.CheckWitnesses()
+			continue // what the others have compared by then, they have compared after it
 		}
 		outages := n.store.Outages()
 		others, err := n.askOthers(ctx)
-		heard := err == nil && others.noticed == "" && !n.wasPutBack(ctx, others.newest)
-		if heard || time.Since(unsureSince) > n.d.Cancel {
+		heard := err == nil && others.ready && others.noticed == "" && !n.wasPutBack(ctx, others.newest)
+		if heard || time.Since(servedSince) > n.d.Cancel {
 			n.cache.Confirm(outages)
 		}
 	}
@@ -164,17 +173,20 @@
 	known   int    // the most jobs that one of them knows
 	newest  uint64 // the newest revision that one of them has seen
 	noticed string // one that has noticed a loss
+	ready   bool   // each has found the newest that it knows in the records, just now
 }
 
 // askOthers asks all other controllers what they know. It fails unless all answer.
 func (n *Node) askOthers(ctx context.Context) (others othersKnow, err error) {
 	ctx, cancel := context.WithTimeout(ctx, n.d.TermRenew)
 	defer cancel()
+	others.ready = true
 	for _, name := range n.hub.Peers() {
 		page, err := n.hub.AskLost(ctx, name, peer.Question{})
 		if err != nil {
 			return othersKnow{}, err
 		}
+		others.ready = others.ready && page.Ready
 		if page.Noticed {
 			others.noticed = name
 		}
