--- a/internal/peer/lost.go
+++ b/internal/peer/lost.go
@@ -29,6 +29,9 @@
 	Known   int
 	Noticed bool
 	Newest  uint64 // revision of the state service that it has read
+	// ReliesOnNothing tells that it neither holds the term nor may come to act by one that
+	// it took in its present life. An earlier version does not say so.
+	ReliesOnNothing bool
 }
 
 // Question is the leader's, for jobs of which another controller knows more than the state
@@ -161,6 +164,7 @@
 	wire.LostPageAddKnown(b, uint64(max(0, p.Known)))
 	wire.LostPageAddNoticed(b, p.Noticed)
 	wire.LostPageAddNewest(b, p.Newest)
+	wire.LostPageAddReliesOnNothing(b, p.ReliesOnNothing)
 	return finish(b, from, wire.BodyLostPage, wire.LostPageEnd(b))
 }
 
@@ -181,7 +185,10 @@
 	if p.JobsLength() > most {
 		return nil, errTooManyRows
 	}
-	page := &lostPage{p.Number(), LostPage{Ready: p.Ready(), More: p.More(), Known: int(p.Known()), Noticed: p.Noticed(), Newest: p.Newest()}}
+	page := &lostPage{p.Number(), LostPage{
+		Ready: p.Ready(), More: p.More(), Known: int(p.Known()), Noticed: p.Noticed(), Newest: p.Newest(),
+		ReliesOnNothing: p.ReliesOnNothing(),
+	}}
 	var row wire.LostJob
 	for i := range p.JobsLength() {
 		if p.Jobs(&row, i) {
--- a/internal/peer/lost_test.go
+++ b/internal/peer/lost_test.go
@@ -19,7 +19,7 @@
 // Questions and pages of lost jobs come out as they went in, and no broken ones end a
 // process.
 func TestLostMessages(t *testing.T) {
-	page := lostPage{9, LostPage{Ready: true, More: true, Known: 7, Noticed: true, Newest: 500, Jobs: []LostJob{
+	page := lostPage{9, LostPage{Ready: true, More: true, Known: 7, Noticed: true, Newest: 500, ReliesOnNothing: true, Jobs: []LostJob{
 		{ID: "j-1", State: "done", Tasks: 4}, {ID: "j-2", State: "queued", Tasks: 1, Record: []byte(`{"stance":"queued"}`)},
 	}}}
 	for name, c := range map[string]struct {
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -31,8 +31,20 @@
 	Uncertain bool
 	Known     int  // jobs that the leader knows
 	PutBack   bool // records may say less than users were told
+	Restoring bool // lost records are being written again
+	Changes   []JobChange
 }
 
+// JobChange is what a job's record has come to say.
+type JobChange struct {
+	ID    string
+	State string
+	Tasks int
+}
+
+// mostChanges bounds a message well below what it may be.
+const mostChanges = maxMessage / 256
+
 type ask struct {
 	number, token uint64
 	seen          uint64 // the asker's picture of the jobs has all changes up to this revision
@@ -81,15 +93,40 @@
 		b.PrependUOffsetT(r)
 	}
 	vector := b.EndVector(len(rows))
+	changes := encodeChanges(b, p.Changes)
 	wire.ProgressStart(b)
 	wire.ProgressAddJobs(b, vector)
+	wire.ProgressAddChanges(b, changes)
 	wire.ProgressAddServed(b, p.Served)
 	wire.ProgressAddUncertain(b, p.Uncertain)
 	wire.ProgressAddKnown(b, uint64(max(0, p.Known)))
 	wire.ProgressAddPutBack(b, p.PutBack)
+	wire.ProgressAddRestoring(b, p.Restoring)
 	return finish(b, from, wire.BodyProgress, wire.ProgressEnd(b))
 }
 
+// encodeChanges writes changes, the newest of them if they are too many.
+func encodeChanges(b *flatbuffers.Builder, changes []JobChange) flatbuffers.UOffsetT {
+	if len(changes) == 0 {
+		return 0 // the field is left out
+	}
+	changes = changes[max(0, len(changes)-mostChanges):]
+	rows := make([]flatbuffers.UOffsetT, 0, len(changes))
+	for _, c := range changes {
+		id, state := b.CreateString(c.ID), b.CreateSharedString(c.State)
+		wire.JobChangeStart(b)
+		wire.JobChangeAddId(b, id)
+		wire.JobChangeAddState(b, state)
+		wire.JobChangeAddTasks(b, uint32(max(0, c.Tasks)))
+		rows = append(rows, wire.JobChangeEnd(b))
+	}
+	wire.ProgressStartChangesVector(b, len(rows))
+	for _, r := range slices.Backward(rows) {
+		b.PrependUOffsetT(r)
+	}
+	return b.EndVector(len(rows))
+}
+
 func encodeAsk(from string, a ask) []byte {
 	b := flatbuffers.NewBuilder(128)
 	wire.AskStart(b)
@@ -144,20 +181,7 @@
 	}
 	switch in.BodyType() {
 	case wire.BodyProgress:
-		var p wire.Progress
-		p.Init(body.Bytes, body.Pos)
-		// A length is only a number in the message: a broken one must not make
-		// this node set memory aside for it.
-		if p.JobsLength() > len(raw)/flatbuffers.SizeUOffsetT {
-			return m, errTooManyRows
-		}
-		m.progress = &Progress{Counts: make(map[string]jobs.Counts, p.JobsLength()), Served: p.Served(), Uncertain: p.Uncertain(), Known: int(p.Known()), PutBack: p.PutBack()}
-		var row wire.JobCounts
-		for i := range p.JobsLength() {
-			if p.Jobs(&row, i) {
-				m.progress.Counts[string(row.Id())] = jobs.Counts{Done: int(row.Done()), Running: int(row.Running())}
-			}
-		}
+		m.progress, err = decodeProgress(body, len(raw)/flatbuffers.SizeUOffsetT)
 	case wire.BodyAsk:
 		var a wire.Ask
 		a.Init(body.Bytes, body.Pos)
@@ -189,5 +213,32 @@
 	return m, err
 }
 
+// decodeProgress reads a leader's word. A length is only a number in the message: a broken one
+// must not make this node set memory aside for it.
+func decodeProgress(body flatbuffers.Table, most int) (*Progress, error) {
+	var in wire.Progress
+	in.Init(body.Bytes, body.Pos)
+	if in.JobsLength() > most || in.ChangesLength() > most {
+		return nil, errTooManyRows
+	}
+	p := &Progress{
+		Counts: make(map[string]jobs.Counts, in.JobsLength()), Served: in.Served(), Uncertain: in.Uncertain(),
+		Known: int(in.Known()), PutBack: in.PutBack(), Restoring: in.Restoring(),
+	}
+	var row wire.JobCounts
+	for i := range in.JobsLength() {
+		if in.Jobs(&row, i) {
+			p.Counts[string(row.Id())] = jobs.Counts{Done: int(row.Done()), Running: int(row.Running())}
+		}
+	}
+	var change wire.JobChange
+	for i := range in.ChangesLength() {
+		if in.Changes(&change, i) {
+			p.Changes = append(p.Changes, JobChange{ID: string(change.Id()), State: string(change.State()), Tasks: int(change.Tasks())})
+		}
+	}
+	return p, nil
+}
+
 // errTooManyRows refuses a broken length before memory is set aside for it.
 var errTooManyRows = errors.New("more rows than the message can hold")
--- a/internal/peer/message_test.go
+++ b/internal/peer/message_test.go
@@ -32,6 +32,8 @@
 
 func TestMessages(t *testing.T) {
 	progress := Progress{Served: true, Counts: map[string]jobs.Counts{"j-1": {Done: 3, Running: 2}, "j-2": {Running: 1}}}
+	progress.Restoring = true
+	progress.Changes = []JobChange{{ID: "j-3", State: jobs.Queued, Tasks: 4}, {ID: "j-000004", State: jobs.Cancelled, Tasks: 1}}
 	told := Promise{Given: true, Complete: true, Cancellations: []jobs.Cancellation{{Job: "j-1", Revision: 431}, {Job: "j-000002", Revision: 1 << 40}}}
 	for _, tc := range []struct {
 		name string
--- a/internal/peer/wire/LostPage.go
+++ b/internal/peer/wire/LostPage.go
@@ -125,8 +125,20 @@
 	return rcv._tab.MutateUint64Slot(16, n)
 }
 
+func (rcv *LostPage) ReliesOnNothing() bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(18))
+	if o != 0 {
+		return rcv._tab.GetBool(o + rcv._tab.Pos)
+	}
+	return false
+}
+
+func (rcv *LostPage) MutateReliesOnNothing(n bool) bool {
+	return rcv._tab.MutateBoolSlot(18, n)
+}
+
 func LostPageStart(builder *flatbuffers.Builder) {
-	builder.StartObject(7)
+	builder.StartObject(8)
 }
 func LostPageAddNumber(builder *flatbuffers.Builder, number uint64) {
 	builder.PrependUint64Slot(0, number, 0)
@@ -152,6 +164,9 @@
 func LostPageAddNewest(builder *flatbuffers.Builder, newest uint64) {
 	builder.PrependUint64Slot(6, newest, 0)
 }
+func LostPageAddReliesOnNothing(builder *flatbuffers.Builder, reliesOnNothing bool) {
+	builder.PrependBoolSlot(7, reliesOnNothing, false)
+}
 func LostPageEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/internal/peer/wire/Progress.go
+++ b/internal/peer/wire/Progress.go
@@ -101,8 +101,40 @@
 	return rcv._tab.MutateBoolSlot(12, n)
 }
 
+func (rcv *Progress) Restoring() bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(14))
+	if o != 0 {
+		return rcv._tab.GetBool(o + rcv._tab.Pos)
+	}
+	return false
+}
+
+func (rcv *Progress) MutateRestoring(n bool) bool {
+	return rcv._tab.MutateBoolSlot(14, n)
+}
+
+func (rcv *Progress) Changes(obj *JobChange, j int) bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(16))
+	if o != 0 {
+		x := rcv._tab.Vector(o)
+		x += flatbuffers.UOffsetT(j) * 4
+		x = rcv._tab.Indirect(x)
+		obj.Init(rcv._tab.Bytes, x)
+		return true
+	}
+	return false
+}
+
+func (rcv *Progress) ChangesLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(16))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
 func ProgressStart(builder *flatbuffers.Builder) {
-	builder.StartObject(5)
+	builder.StartObject(7)
 }
 func ProgressAddJobs(builder *flatbuffers.Builder, jobs flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(jobs), 0)
@@ -122,6 +154,15 @@
 func ProgressAddPutBack(builder *flatbuffers.Builder, putBack bool) {
 	builder.PrependBoolSlot(4, putBack, false)
 }
+func ProgressAddRestoring(builder *flatbuffers.Builder, restoring bool) {
+	builder.PrependBoolSlot(5, restoring, false)
+}
+func ProgressAddChanges(builder *flatbuffers.Builder, changes flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(6, flatbuffers.UOffsetT(changes), 0)
+}
+func ProgressStartChangesVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(4, numElems, 4)
+}
 func ProgressEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/internal/term/campaign.go
+++ b/internal/term/campaign.go
@@ -47,7 +47,13 @@
 			}
 		}
 		now, first := time.Now(), own || s.tokenRevision == 0 && k.promised.highest() == 0
-		if left := max(standDown.Sub(now), k.promised.left(now, first)); left > 0 {
+		if left := max(standDown.Sub(now), k.promised.left(k.now(), first)); left > 0 {
+			if k.releaseEarlier(ctx) {
+				continue
+			}
+			if k.promised.fromEarlier(k.now()) {
+				left = min(left, k.timing.Retry/2) // others may answer soon
+			}
 			k.follow(ctx, s.revision, min(left, k.timing.WatchWait))
 			continue
 		}
@@ -63,6 +69,22 @@
 	}
 }
 
+// releaseEarlier asks all others whether anybody may rely on what an earlier life of this node
+// has promised, and returns true if nobody does: then it need not be waited out.
+func (k *Keeper) releaseEarlier(ctx context.Context) bool {
+	if k.NobodyRelies == nil || !k.promised.fromEarlier(k.now()) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, k.timing.Renew)
+	defer cancel()
+	if !k.NobodyRelies(ctx) {
+		return false
+	}
+	k.promised.earlierIsVoid(k.now())
+	slog.Info("promises of an earlier life are void", "reason", "no other node relies on one")
+	return true
+}
+
 // atLeastKnown takes in the stored token. Should the state service have lost it, or have
 // been put back to an older one, the highest that this node knows of takes its place: no
 // token may be given out twice.
@@ -170,7 +192,7 @@
 	h := Holder{Node: k.node, Life: k.life, Token: s.token + 1, Lease: lease}
 	value, _ := json.Marshal(h)
 	next, _ := json.Marshal(h.Token)
-	if !k.promised.campaign(time.Now(), first, s.token) {
+	if !k.promised.campaign(k.now(), first, s.token) {
 		_ = k.store.Revoke(ctx, lease)
 		return Term{}, 0, sent, errors.New("promised not to")
 	}
--- a/internal/term/hold.go
+++ b/internal/term/hold.go
@@ -47,8 +47,9 @@
 
 // hold keeps the term until it can no longer be proven, and tells why it ended.
 func (k *Keeper) hold(ctx context.Context, t Term, lease uint64, sent time.Time, lead func(context.Context, Term)) (reason string) {
-	k.extend(sent)
+	k.cover.begin(sent.Sub(k.base), k.timing.Safe)
 	if !k.Valid() {
+		k.cover.end()
 		return "taken too slowly"
 	}
 	self := &Holder{Node: k.node, Life: k.life, Token: t.Token}
@@ -66,7 +67,7 @@
 	lost := make(chan struct{})
 	go k.watchOwnKey(leadCtx, t, lost)
 	reason = k.renew(leadCtx, lease, t.Token, done, lost)
-	k.until.Store(0)
+	k.cover.end()
 	k.holder.CompareAndSwap(self, nil)
 	stop()
 	<-done
@@ -103,7 +104,7 @@
 			switch {
 			case o.err == nil && o.sent.After(good):
 				good = o.sent
-				k.extend(o.sent)
+				k.cover.renewed(o.sent.Sub(k.base), k.timing.Safe)
 			case o.err == nil: // one that was sent later has been answered already
 			case errors.Is(o.err, state.ErrNoLease):
 				if k.Valid() { // renewed in time, it cannot end by itself
@@ -115,16 +116,13 @@
 			}
 		case o := <-promises:
 			asking = false
-			// Once uncovered, the holder may not go on: another may have taken
-			// the term in between and have promised nothing against itself.
-			if o.err == nil && k.Valid() {
-				k.extend(o.sent)
+			if o.err == nil && k.cover.promised(k.now(), o.sent.Sub(k.base), k.timing.Safe) {
 				k.asked.Store(int64(o.sent.Sub(k.base)))
 			}
 		case <-tick.C:
 		}
 		now := time.Now()
-		left := time.Duration(k.until.Load()) - now.Sub(k.base)
+		left := k.cover.left(now.Sub(k.base))
 		if left <= 0 {
 			return "neither renewed nor promised"
 		}
@@ -153,9 +151,3 @@
 		}
 	}
 }
-
-// extend takes in that a renewal, or the promises, asked for at a moment hold. What came
-// before may hold for longer.
-func (k *Keeper) extend(sent time.Time) {
-	k.until.Store(max(k.until.Load(), int64(sent.Add(k.timing.Safe).Sub(k.base))))
-}
--- a/internal/term/promise_test.go
+++ b/internal/term/promise_test.go
@@ -3,14 +3,15 @@
 import (
 	"testing"
 	"time"
+
+	"ospreyslip/internal/termrules"
 )
 
 // The promise is what keeps two nodes from leading while the holder lives on
 // promises. Times are in units of one promise.
 func TestPromise(t *testing.T) {
-	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	life := time.Second
-	at := func(units float64) time.Time { return start.Add(time.Duration(units * float64(life))) }
+	at := func(units float64) time.Duration { return time.Duration(units * float64(life)) }
 
 	t.Run("a promise forbids campaigns until it ends", func(t *testing.T) {
 		var p promise
@@ -43,14 +44,14 @@
 		}
 	})
 	t.Run("a new life waits out what an earlier one may have promised", func(t *testing.T) {
-		p := promise{until: at(1), fromEarlier: true}
+		p := promise{giver: termrules.Restarted(at(0), life)}
 		if p.campaign(at(0.5), false, 7) {
 			t.Error("campaigned within the earlier life's promise")
 		}
 		if !p.campaign(at(0.5), true, 7) {
 			t.Error("its own earlier life held the term, so that it had promised nobody")
 		}
-		p = promise{until: at(1), fromEarlier: true}
+		p = promise{giver: termrules.Restarted(at(0), life)}
 		p.give(at(0.2), life, 7)
 		if p.campaign(at(0.5), true, 7) {
 			t.Error("a promise of this life binds in any case")
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -12,6 +12,7 @@
 
 	"ospreyslip/internal/loss"
 	"ospreyslip/internal/state"
+	"ospreyslip/internal/termrules"
 )
 
 const (
@@ -56,7 +57,7 @@
 	store    *state.Client
 	timing   Timing
 	base     time.Time
-	until    atomic.Int64 // holds the term until base+until
+	cover    cover        // of the term that this node holds
 	asked    atomic.Int64 // for the last promises of all others, at base+asked
 	holder   atomic.Pointer[Holder]
 	heard    atomic.Int64  // of the term, from the state service, at base+heard
@@ -68,26 +69,30 @@
 	// AllPromise asks all other nodes for a promise; nil means that there are
 	// none to be had.
 	AllPromise func(ctx context.Context, token uint64) bool
+	// NobodyRelies asks all other nodes whether each has answered, in its present life, that
+	// it relies on no promise; nil means that this cannot be found out.
+	NobodyRelies func(ctx context.Context) bool
 	// Lost is told what shows that the state service has lost keys of the term.
 	Lost func(loss.Loss)
 }
 
 // NewKeeper makes a keeper for a node.
 func NewKeeper(node string, store *state.Client, timing Timing) *Keeper {
-	now := time.Now()
-	k := &Keeper{node: node, life: rand.Text(), store: store, timing: timing, base: now, Lost: func(loss.Loss) {}}
-	// An earlier life of this node may have promised something just before
-	// its end. Nobody remembers, so that this one waits it out.
-	k.promised.until = now.Add(timing.Lease)
-	k.promised.fromEarlier = true
+	k := &Keeper{node: node, life: rand.Text(), store: store, timing: timing, base: time.Now(), Lost: func(loss.Loss) {}}
+	k.promised.giver = termrules.Restarted(0, timing.Lease)
 	return k
 }
 
 // Valid tells whether this node holds the term at this moment, by its own
 // clock and counted from when the last good renewal was sent.
-func (k *Keeper) Valid() bool {
-	return time.Since(k.base) < time.Duration(k.until.Load())
-}
+func (k *Keeper) Valid() bool { return k.cover.valid(k.now()) }
+
+// now is this node's steady clock, as all decisions about the term count.
+func (k *Keeper) now() time.Duration { return time.Since(k.base) }
+
+// ReliesOnNothing tells whether this node, in its present life, neither holds a term nor may
+// come to act by one that it took: then no promise that others have given it matters.
+func (k *Keeper) ReliesOnNothing() bool { return k.cover.reliesOnNothing() }
 
 // Promised returns when the last promises were asked for that all others gave. It
 // is the zero time if that was never so.
@@ -132,7 +137,7 @@
 	if _, _, err := k.store.Get(ctx, HolderKey); err == nil || errors.Is(err, state.ErrBusy) {
 		return false // a service that is only busy still takes cancellations
 	}
-	if !k.promised.give(time.Now(), k.timing.Lease, token) {
+	if !k.promised.give(k.now(), k.timing.Lease, token) {
 		return false
 	}
 	if h := k.holder.Load(); h != nil && h.Token <= token {
