Losses: jobs stay known until all is written, a damaged log is told to the next leader

Change: the leader says that it is restoring; its status says that segments may be lost; it tells the others of changes of records with its progress, at least once a control interval, and what a node was told of and does not find is lost.

TestTakeOverAfterARestart: a leader within a quarter of a term lease of the last node's begin, five restarts running; with one node away the wait stays.

--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -11,6 +11,7 @@
 
 	"ospreyslip/internal/jobs"
 	"ospreyslip/internal/loss"
+	"ospreyslip/internal/peer"
 	"ospreyslip/internal/state"
 )
 
@@ -105,6 +106,7 @@
 		return
 	}
 	id := jobs.IDOf(c.Set)
+	l.changes = append(l.changes, peer.JobChange{ID: id, State: rec.State, Tasks: rec.Tasks})
 	j := l.jobs[id]
 	if known, _ := l.Cache.Known(id); known.Over() && !rec.Over() {
 		return // the record is older than what users were told: it will be written again
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -10,6 +10,7 @@
 	"ospreyslip/internal/fleet"
 	"ospreyslip/internal/jobs"
 	"ospreyslip/internal/liveness"
+	"ospreyslip/internal/peer"
 	"ospreyslip/internal/placement"
 	"ospreyslip/internal/reconcile"
 	"ospreyslip/internal/settings"
@@ -30,7 +31,7 @@
 	// they came from all other nodes.
 	Promised func() time.Time
 	Raised   func(token uint64) // told of a token raised within the term
-	Publish  func(map[string]jobs.Counts)
+	Publish  func(map[string]jobs.Counts, []peer.JobChange)
 	Catalog  func() []jobs.MachineType
 	Counts   *Counts
 	Cache    *jobs.Cache // what this node knows of all jobs
@@ -58,6 +59,7 @@
 
 	tickGroup int // of the ticks in a control interval
 	shownAt   time.Time
+	changes   []peer.JobChange // of records, since then
 	mayResign bool
 	resign    bool
 }
--- a/internal/control/picture_test.go
+++ b/internal/control/picture_test.go
@@ -392,7 +392,7 @@
 			asked++
 			return nil, http.ErrHandlerTimeout
 		}), time.Second, 100)
-		l.Publish, l.events = func(map[string]jobs.Counts) {}, make(chan func(time.Time), 1)
+		l.Publish, l.events = func(map[string]jobs.Counts, []peer.JobChange) {}, make(chan func(time.Time), 1)
 		for _, a := range j.tasks {
 			l.conclude(a, retry)
 			l.forget(a)
@@ -555,7 +555,7 @@
 // tick after its time.
 func TestLeasesEndInTime(t *testing.T) {
 	l, _, _, start := bench()
-	l.Publish = func(map[string]jobs.Counts) {}
+	l.Publish = func(map[string]jobs.Counts, []peer.JobChange) {}
 	rnd := rand.New(rand.NewPCG(7, 0))
 	seq := uint64(100)
 	const step = 100 * time.Millisecond
--- a/internal/control/recovery.go
+++ b/internal/control/recovery.go
@@ -41,11 +41,13 @@
 type recoverer struct {
 	phase      RecoveryPhase
 	uncertain  atomic.Bool // comparing, for other goroutines
+	restoring  atomic.Bool // the same, while records are written again
 	listAnew   atomic.Bool // the watch may have missed changes, if revisions were given out again
 	putBack    atomic.Bool // records may say less than users were told, for other goroutines
 	round      uint64      // of comparison
 	since      time.Time
 	affectsLog bool // tasks may run that the assignment log does not name
+	logDamaged bool // segments may be lost, and are being written again: a next leader must know
 	fresh      bool // this node has just begun: others may know more
 	ignorant   bool // this node knows less than some worker
 	again      bool // more was noticed meanwhile
@@ -93,6 +95,10 @@
 	case loss.RevisionBack, loss.RecordOlder, loss.Earlier, loss.ReportedByPeer: // the last two may be that
 		l.putBack.Store(true)
 	}
+	if e.Kind.AffectsLog() && !l.logDamaged {
+		l.logDamaged = true
+		l.marked = false // the status has to say so
+	}
 	if e.Kind.AffectsLog() && l.phase != Comparing {
 		// What this leader holds is the truth: it is written once more, all of it.
 		l.log.rewrite = len(l.log.segments)
@@ -147,6 +153,7 @@
 // compare begins a round of comparison.
 func (l *Leader) compare(now time.Time) {
 	l.phase, l.since, l.again, l.unmark = Comparing, now, false, false
+	l.restoring.Store(false)
 	l.round++
 	l.uncertain.Store(true)
 	l.Cache.Suspect(now.Add(l.Derived.Cancel))
@@ -195,6 +202,7 @@
 func (l *Leader) decideAll(now time.Time) {
 	l.phase = Restoring
 	l.affectsLog, l.ignorant = false, false
+	l.restoring.Store(true)
 	l.uncertain.Store(false)
 	for id, k := range l.knowledge {
 		l.Cache.Learn(id, told(k), k.TaskCount())
@@ -221,8 +229,9 @@
 		l.compare(now)
 		return
 	}
-	l.phase, l.unmark = Whole, true
+	l.phase, l.unmark, l.logDamaged = Whole, true, false
 	l.putBack.Store(false)
+	l.restoring.Store(false)
 	clear(l.knowledge)
 	clear(l.strays)
 	slog.Info("records whole", "term", l.token, "took", now.Sub(l.since).Round(time.Millisecond).String(), "held", len(l.held))
@@ -235,6 +244,12 @@
 	return l != nil && l.uncertain.Load()
 }
 
+// Restoring tells whether the leader on duty here is writing lost records again.
+func (g *Gate) Restoring() bool {
+	l := g.on.Load()
+	return l != nil && l.restoring.Load()
+}
+
 // PutBack tells whether records may say less than users were told, as far as the leader on
 // duty here knows.
 func (g *Gate) PutBack() bool {
--- a/internal/control/recovery_write.go
+++ b/internal/control/recovery_write.go
@@ -261,7 +261,7 @@
 	if l.marked || l.recording || now.Before(l.recordAt) || !l.Valid() {
 		return
 	}
-	value, _ := json.Marshal(recoveryStatus{Token: l.term.Token, SinceMs: now.UnixMilli(), Log: l.affectsLog})
+	value, _ := json.Marshal(recoveryStatus{Token: l.term.Token, SinceMs: now.UnixMilli(), Log: l.affectsLog || l.logDamaged})
 	l.commitStatus(ctx, state.Write{Set: jobs.RecoveryStatusKey, Value: value}, true)
 }
 
--- a/internal/control/scale_test.go
+++ b/internal/control/scale_test.go
@@ -12,6 +12,7 @@
 
 	"ospreyslip/internal/jobs"
 	"ospreyslip/internal/liveness"
+	"ospreyslip/internal/peer"
 	"ospreyslip/internal/state"
 	"ospreyslip/internal/term"
 	"ospreyslip/internal/workers"
@@ -146,7 +147,7 @@
 func TestWorkPerTick(t *testing.T) {
 	cost := func(size int) float64 {
 		l, _, now := fleetOf(t, size)
-		l.Publish = func(map[string]jobs.Counts) {}
+		l.Publish = func(map[string]jobs.Counts, []peer.JobChange) {}
 		l.unmet, l.shownAt = nil, now
 		return testing.AllocsPerRun(3*ticksPerInterval, func() {
 			l.fleetAt = time.Time{}
@@ -162,7 +163,7 @@
 // planned for anew among it.
 func BenchmarkTick(b *testing.B) {
 	l, _, now := fleetOf(b, largest)
-	l.Publish = func(map[string]jobs.Counts) {}
+	l.Publish = func(map[string]jobs.Counts, []peer.JobChange) {}
 	l.listSyncAt = now.Add(time.Hour) // nothing is rented
 	for b.Loop() {
 		l.fleetAt = time.Time{}
--- a/internal/control/tick.go
+++ b/internal/control/tick.go
@@ -130,7 +130,8 @@
 	}
 	if now.Sub(l.shownAt) > l.Derived.ControlInterval/2 {
 		l.shownAt = now
-		l.Publish(l.Counts.shown())
+		l.Publish(l.Counts.shown(), l.changes)
+		l.changes = nil
 	}
 }
 
--- a/internal/jobs/api.go
+++ b/internal/jobs/api.go
@@ -241,7 +241,7 @@
 		a.later(w, unsettledText)
 	case rec != nil:
 		reply(w, http.StatusOK, view{ID: id, State: a.shownState(id, rec)})
-	case !a.Cache.Sure():
+	case !a.Cache.NeverAccepted(id):
 		a.later(w, "records may be missing")
 	default:
 		refuse()
@@ -317,7 +317,7 @@
 		switch {
 		case err != nil:
 			return false, err
-		case rec == nil && !a.Cache.Sure():
+		case rec == nil && !a.Cache.NeverAccepted(id):
 			a.later(w, "records may be missing")
 			return true, nil
 		case rec == nil:
--- a/internal/jobs/cache.go
+++ b/internal/jobs/cache.go
@@ -43,7 +43,8 @@
 	dropped    uint64         // up to this revision some may be missing
 	losses     losses
 	witnesses  witnesses
-	newest     loss.Highest // revision that was read or written
+	heard      map[string]heardJob // changes that others know and this node has not read yet
+	newest     loss.Highest        // revision that was read or written
 	// Owned by Run.
 	whole    bool
 	revision uint64
@@ -55,7 +56,7 @@
 func NewCache(store *state.Client, gap, idle, doubtFor time.Duration, keep int) *Cache {
 	return &Cache{
 		store: store, gap: gap, idle: idle, doubtFor: doubtFor, keep: keep,
-		asks: make(chan chan error), jobs: newBriefTable(), unfinished: map[string]json.RawMessage{}, losses: newLosses(),
+		asks: make(chan chan error), jobs: newBriefTable(), unfinished: map[string]json.RawMessage{}, losses: newLosses(), heard: map[string]heardJob{},
 	}
 }
 
@@ -92,7 +93,7 @@
 		return Record{}, false, ctx.Err()
 	}
 	rec, found = m.Known(id)
-	if !found && !m.Sure() {
+	if !found && !m.NeverAccepted(id) {
 		return Record{}, false, ErrUncertain
 	}
 	return rec, found, nil
@@ -125,10 +126,12 @@
 			}
 		}
 		lastRead = time.Now()
-		expected, heard := m.expectation()
+		expected, ready := m.expectation()
+		heard := m.heardBy()
 		err := m.read(ctx)
 		if err == nil {
-			m.checkExpected(expected, heard)
+			m.missHeard(heard)
+			m.checkExpected(expected, ready)
 		}
 		for _, c := range waiting {
 			c <- err
@@ -139,7 +142,7 @@
 		if err != nil {
 			slog.Debug("records not read", "reason", err)
 		}
-		if m.pending() || m.becomingSure() {
+		if m.pending() || m.becomingSure() || m.witnessesWanted() {
 			idle = m.gap
 		}
 	}
@@ -243,17 +246,23 @@
 		return
 	}
 	b := brief{tasks: rec.Tasks, revision: revision}
-	for _, s := range []string{Queued, Done, Cancelled} {
-		if s == rec.State {
-			b.state = s // one copy of the text for all jobs
-		}
-	}
+	b.state = stateText(rec.State)
 	if evidence := m.take(IDOf(key), b, value); evidence != "" {
 		slog.Error("record says less than is known", "key", key, "reason", string(evidence))
 		m.tell(loss.Loss{Kind: evidence, Key: key, Found: revision})
 	}
 }
 
+// stateText is one copy of a state's text for all jobs; empty for what is none.
+func stateText(state string) string {
+	for _, s := range []string{Queued, Done, Cancelled} {
+		if s == state {
+			return s
+		}
+	}
+	return ""
+}
+
 // take takes in what a record says, and tells what shows that it is not the newest.
 func (m *Cache) take(id string, found brief, value json.RawMessage) (evidence loss.Kind) {
 	m.mu.Lock()
@@ -264,6 +273,7 @@
 	}
 	now, evidence := merge(old, found)
 	m.jobs.set(id, now)
+	m.seen(id, now)
 	m.witnesses.add(id, found.revision)
 	m.describe(id, now, value)
 	if evidence != "" {
--- a/internal/jobs/lost_test.go
+++ b/internal/jobs/lost_test.go
@@ -269,3 +269,36 @@
 		}
 	})
 }
+
+// What the leader tells of records is known, though they are lost before this node has read
+// them. Its own watch may show older changes first, and that is no loss.
+func TestHeardFromTheLeader(t *testing.T) {
+	withCache(t, func(c *cached) {
+		seen := c.evidence()
+		c.fill()
+		c.write("j-4", jobs.Queued)
+		c.write("j-4", jobs.Done)
+		c.m.Hear("j-4", jobs.Done, 1)
+		c.m.Hear("j-2", jobs.Queued, 1)
+		c.m.Hear("j-3", jobs.Done, 1)
+		c.m.Hear("no job", jobs.Done, 1)
+		c.m.Hear("j-71", "flying", 1)
+		c.want("j-4", jobs.Done, "both changes read after that was heard")
+		c.want("j-2", jobs.Done, "an older word")
+		c.want("j-3", jobs.Cancelled, "another end than is known")
+		c.want("j-71", "404", "no state of ours")
+		seen.none(t, "all is there")
+		before := c.store.Backup()
+		c.write("j-70", jobs.Queued)
+		c.write("j-1", jobs.Cancelled)
+		c.m.Hear("j-70", jobs.Queued, 1)
+		c.m.Hear("j-1", jobs.Cancelled, 1)
+		if c.m.NeverAccepted("j-70") {
+			t.Error("heard of, and called never accepted")
+		}
+		c.store.Restore(before)
+		c.want("j-70", jobs.Queued, "accepted, then put back")
+		c.want("j-1", jobs.Cancelled, "cancelled, then put back")
+		c.wantLost("put back", "j-1 aborted", "j-70 queued")
+	})
+}
--- a/internal/jobs/witness.go
+++ b/internal/jobs/witness.go
@@ -52,6 +52,12 @@
 	m.Check()
 }
 
+func (m *Cache) witnessesWanted() bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.witnesses.wanted
+}
+
 // WitnessesChecked returns when the last comparison that found nothing was begun.
 func (m *Cache) WitnessesChecked() time.Time {
 	m.mu.RLock()
--- a/internal/node/mixed_test.go
+++ b/internal/node/mixed_test.go
@@ -480,6 +480,7 @@
 				})
 				u.stop()
 				if t.Failed() {
+					t.Log(c.waiting())
 					t.Log(c.world.Trace())
 				}
 			})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -119,7 +119,10 @@
 			return
 		}
 		n.counts.Replace(p.Counts)
-		n.leaderIsUnsure(p.Uncertain, p.PutBack)
+		for _, c := range p.Changes {
+			n.cache.Hear(c.ID, c.State, c.Tasks)
+		}
+		n.leaderIsUnsure(p)
 		n.cache.Expect(p.Known, p.Uncertain)
 		n.heard.Store(time.Since(n.born).Nanoseconds())
 		if p.Served {
@@ -128,6 +131,7 @@
 	}
 	if len(set.Peers) == set.Deployment.Nodes-1 {
 		n.keeper.AllPromise = n.allPromise
+		n.keeper.NobodyRelies = n.nobodyRelies
 	}
 	n.cloud = fleet.NewCloud(set.Endpoints.Cloud, pick(d.CloudConns, 0, d.CloudWait), d.CloudWait, set.Deployment.Cloud.RPS*cloudShare)
 	return n
@@ -252,10 +256,10 @@
 	return b
 }
 
-func (n *Node) publish(counts map[string]jobs.Counts) {
+func (n *Node) publish(counts map[string]jobs.Counts, changes []peer.JobChange) {
 	n.heard.Store(time.Since(n.born).Nanoseconds())
 	n.cache.PutBack(n.gate.PutBack())
-	n.hub.Publish(peer.Progress{Counts: counts, Served: !n.store.Failing(), Uncertain: n.gate.Uncertain(), PutBack: n.gate.PutBack(), Known: n.cache.Jobs()})
+	n.hub.Publish(peer.Progress{Counts: counts, Served: !n.store.Failing(), Uncertain: n.gate.Uncertain(), PutBack: n.gate.PutBack(), Restoring: n.gate.Restoring(), Known: n.cache.Jobs(), Changes: changes})
 }
 
 // ready tells whether this node can take requests. One that the state service
--- a/internal/node/recovery.go
+++ b/internal/node/recovery.go
@@ -25,6 +25,7 @@
 	noticed chan loss.Loss
 	told    time.Time   // when the leader was last told, owned by the duty
 	unsure  atomic.Bool // the leader says that records are being compared
+	writing atomic.Bool // the leader says that lost records are being written again
 
 	mu     sync.Mutex
 	round  uint64 // of comparison, the last that was asked about
@@ -77,7 +78,10 @@
 		if !fresh {
 			n.cache.CheckWitnesses()
 		}
-		return peer.LostPage{Ready: fresh, Known: n.cache.Jobs(), Newest: n.cache.Newest(), Noticed: n.cache.Suspected() || n.cache.LostJobs() > 0}
+		return peer.LostPage{
+			Ready: fresh, Known: n.cache.Jobs(), Newest: n.cache.Newest(), Noticed: n.cache.Suspected() || n.cache.LostJobs() > 0,
+			ReliesOnNothing: n.keeper.ReliesOnNothing(),
+		}
 	}
 	n.losses.mu.Lock()
 	if n.losses.round != q.Round {
@@ -99,16 +103,18 @@
 // lostRows is how many lost jobs are in one answer to the leader.
 const lostRows = 500
 
-// leaderIsUnsure takes in whether the leader is comparing records.
-func (n *Node) leaderIsUnsure(unsure, putBack bool) {
-	n.cache.PutBack(putBack)
-	was := n.losses.unsure.Swap(unsure)
-	switch {
-	case unsure:
-		n.cache.Suspect(time.Now().Add(n.d.Cancel))
-	case was || !n.cache.SawAll():
+// leaderIsUnsure takes in whether the leader is comparing records, or writing lost ones again.
+// Until they are written, this node may not know of a job, or know less than others.
+func (n *Node) leaderIsUnsure(p peer.Progress) {
+	n.cache.PutBack(p.PutBack)
+	compared := n.losses.unsure.Swap(p.Uncertain) && !p.Uncertain
+	written := n.losses.writing.Swap(p.Restoring) && !p.Restoring
+	if compared || written || !p.Uncertain && !n.cache.SawAll() {
 		n.cache.Compared()
 	}
+	if p.Uncertain || p.Restoring {
+		n.cache.Suspect(time.Now().Add(n.d.Cancel))
+	}
 }
 
 // becomeSure finds out, after a start, whether this node has begun with all records there
@@ -195,6 +201,24 @@
 	return others, nil
 }
 
+// nobodyRelies tells whether every other controller has answered this process that it relies
+// on no promise. They are asked together: a node that has just begun waits for them.
+func (n *Node) nobodyRelies(ctx context.Context) bool {
+	asked := n.hub.Peers()
+	answers := make(chan bool, len(asked))
+	for _, name := range asked {
+		go func() {
+			page, err := n.hub.AskLost(ctx, name, peer.Question{})
+			answers <- err == nil && page.ReliesOnNothing
+		}()
+	}
+	all := true
+	for range asked {
+		all = <-answers && all
+	}
+	return all
+}
+
 // wasPutBack tells whether the state service is at an older revision than another controller
 // had seen before, or does not tell.
 func (n *Node) wasPutBack(ctx context.Context, newest uint64) bool {
--- a/internal/node/restart_test.go
+++ b/internal/node/restart_test.go
@@ -78,3 +78,85 @@
 		})
 	}
 }
+
+// untilLed starts nodes and returns how long it takes until one leads.
+func (c *cluster) untilLed(names ...string) time.Duration {
+	c.t.Helper()
+	for _, n := range names {
+		c.start(n)
+	}
+	began := time.Now()
+	for time.Since(began) < 30*time.Second {
+		for _, n := range names {
+			if c.nodes[n].node.keeper.Valid() {
+				return time.Since(began)
+			}
+		}
+		c.run(10 * time.Millisecond)
+	}
+	c.t.Error("nobody leads")
+	return 0
+}
+
+// Beyond the term's lease, restarted nodes need not wait out what their earlier lives may have
+// promised: all have begun anew, and tell each other so. Where one does not answer, they wait.
+func TestTakeOverAfterARestart(t *testing.T) {
+	inCluster(t, nil, func(c *cluster) {
+		c.fillFleet(4)
+		lease := c.nodes[c.names[0]].node.d.TermLease
+		for range 5 {
+			c.crash(c.names...)
+			c.run(2 * lease)
+			if took := c.untilLed(c.names...); took > lease/4 {
+				t.Errorf("led after %v with all nodes up, a term lease is %v", took, lease)
+			}
+			c.run(5 * time.Second)
+		}
+		c.crash(c.names...)
+		c.run(2 * lease)
+		if took := c.untilLed(c.names[:2]...); took < lease*9/10 {
+			t.Errorf("led after %v, though one node may rely on promises", took)
+		}
+		c.start(c.names[2])
+	})
+}
+
+// The holder lives on promises, cut off from the state service alone, when the others are
+// restarted: they are told that it relies on what their earlier lives have promised.
+func TestRestartWhileTheHolderReliesOnPromises(t *testing.T) {
+	inCluster(t, nil, func(c *cluster) {
+		c.fillFleet(4)
+		old, lease := c.leader(), c.nodes[c.names[0]].node.d.TermLease
+		c.world.State.Down(true)
+		c.run(2 * lease)
+		if !c.nodes[old].node.keeper.Valid() {
+			t.Fatal("the holder does not live on promises")
+		}
+		var others []string
+		for _, n := range c.names {
+			if n != old {
+				others = append(others, n)
+			}
+		}
+		c.crash(others...)
+		c.world.State.RefuseFrom(old, true)
+		c.world.State.Down(false)
+		for _, n := range others {
+			c.start(n)
+		}
+		for range 3000 {
+			led := 0
+			for _, n := range c.names {
+				if c.nodes[n].node.keeper.Valid() {
+					led++
+				}
+			}
+			if led > 1 {
+				t.Fatal("two nodes lead")
+			}
+			c.run(10 * time.Millisecond)
+		}
+		c.world.State.RefuseFrom(old, false)
+		c.within(time.Minute, "a leader", func() bool { return c.leader() != "" })
+	})
+}
