Take-over: machines go back though the term was uncovered for a moment; production waits for none

A release that met a moment without cover (a late renewal covers the term again) gave up for good, and no machine was ever given back under that leader; at the cloud's capacity nothing could be rented.

--- a/internal/control/returns.go
+++ b/internal/control/returns.go
@@ -38,11 +38,14 @@
 			}
 			return struct{}{}, l.Cloud.Release(ctx, ids)
 		}, backoff.WithBackOff(l.backOff()), backoff.WithMaxElapsedTime(0))
-		if err != nil {
-			return // the term is over
-		}
 		l.post(ctx, func(now time.Time) {
 			l.returning = false
+			if err != nil {
+				// The term was not covered at that moment. If it is over, nobody gets here;
+				// if a late renewal covers it again, the machines still have to go back.
+				l.returns = append(ids, l.returns...)
+				return
+			}
 			l.released(ids, now)
 			l.release(ctx, now)
 		})
--- a/internal/control/takeover.go
+++ b/internal/control/takeover.go
@@ -46,18 +46,18 @@
 }
 
 // preemptionBound is for how long a job waits in a take-over before others are stopped for
-// it: part of the time in which its users, or its team, expect it to start. A production
-// service waits no longer than machines take that report by themselves. What nobody expects
-// to start by a time waits until the machines that have not reported are late.
+// it. Production does not wait: its users notice each second. What a guarantee covers waits part
+// of the time in which it should start, other work until the machines that have not reported
+// are late.
 func (l *Leader) preemptionBound(j *job) time.Duration {
-	bound := l.Derived.Overdue
 	if j.spec.Priority == jobs.Prod {
-		bound = l.Derived.AnnounceAfter
+		return 0
 	}
+	bound := l.Derived.Overdue
 	for _, o := range l.Settings.Deployment.Objectives {
 		if o.Kind == "wait" && o.Class == j.spec.Class || o.Kind == "guarantee" && j.covered && j.spec.Shape == jobs.Batch {
 			bound = min(bound, times(time.Second, patientShare*o.WithinS))
 		}
 	}
-	return bound
+	return times(bound, l.Settings.Operator.TakeoverPatience)
 }
--- /dev/null
+++ b/internal/control/takeover_test.go
@@ -0,0 +1,108 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"ospreyslip/internal/jobs"
+	"ospreyslip/internal/placement"
+	"ospreyslip/internal/reconcile"
+	"ospreyslip/internal/settings"
+)
+
+// In a take-over, while machines that are well have not reported, others are stopped for
+// production at once, for a class with an aim to start or a guarantee when half of that time is
+// over, and else when the machines are late.
+func TestPreemptionInATakeover(t *testing.T) {
+	l, _, _, now := bench()
+	l.Settings.Deployment.Objectives = []settings.Objective{
+		{Kind: "wait", Class: "web", WithinS: 2}, {Kind: "guarantee", WithinS: 6},
+	}
+	l.takeover = reconcile.NewTakeover(now, l.Derived.Overdue)
+	l.takeover.Expect("m-2")
+	l.takeover.RecordsRead(now)
+	waiting := func(class, priority string, covered bool) *job {
+		j := newJob("j-9", &jobs.Spec{ID: "j-9", Class: class, Team: "red", Shape: jobs.Batch, Priority: priority, Tasks: 1, CPUs: 1}, 1, 0, now)
+		j.covered = covered
+		return j
+	}
+	for what, c := range map[string]struct {
+		j     *job
+		bound time.Duration
+	}{
+		"a class with an aim":       {waiting("web", jobs.Urgent, false), time.Second},
+		"covered by a guarantee":    {waiting("sums", jobs.Standard, true), 3 * time.Second},
+		"nothing that it should be": {waiting("sums", jobs.Urgent, false), l.Derived.Overdue},
+	} {
+		c.j.served = now.Add(-time.Hour) // it has waited under earlier leaders as well
+		if l.mayPreempt(c.j, now.Add(c.bound-time.Millisecond)) || !l.mayPreempt(c.j, now.Add(c.bound)) {
+			t.Errorf("%s: others are stopped for it at another time than after %v", what, c.bound)
+		}
+	}
+	if !l.mayPreempt(waiting("web", jobs.Prod, false), now) {
+		t.Error("production waits")
+	}
+	l.Settings.Operator.TakeoverPatience = 0
+	if !l.mayPreempt(waiting("sums", jobs.Urgent, false), now) {
+		t.Error("operators want others to be stopped at once")
+	}
+	l.Settings.Operator.TakeoverPatience = 1
+	l.takeover.Heard("m-2")
+	if !l.mayPreempt(waiting("sums", jobs.Urgent, false), now) {
+		t.Error("all machines have reported: there is no other room")
+	}
+}
+
+// Whatever awaits room has nothing stopped for it, and is still placed where there is room.
+func TestNothingIsStoppedForWhatAwaitsRoom(t *testing.T) {
+	for _, awaits := range []bool{false, true} {
+		var index placement.CapacityIndex
+		m := &placement.Machine{ID: "m-1", Zone: "a", Type: "c4", Total: placement.Amount{CPUs: 4, RAMGB: 8}, Images: map[string]bool{}, Fetching: map[string]float64{}, Avoid: map[string]bool{}}
+		low := &jobs.Spec{ID: "j-1", Shape: jobs.Batch, Priority: jobs.BestEffort, Tasks: 1, CPUs: 4, RAMGB: 1}
+		m.Tasks = []*placement.Placed{{Job: &placement.Job{Spec: low}}}
+		index.Put(m)
+		high := &jobs.Spec{ID: "j-2", Shape: jobs.Batch, Priority: jobs.Urgent, Tasks: 1, CPUs: 4, RAMGB: 1}
+		out := placement.Plan(placement.Input{Used: map[string]placement.Amount{}, Index: &index, Jobs: []*placement.Job{{Spec: high, Zones: map[string]int{}, Waiting: 1, AwaitsRoom: awaits, DueS: placement.NoDeadline}}})
+		if stopped := len(out.Stop) > 0; stopped == awaits || len(out.Unmet) > 0 != awaits {
+			t.Errorf("awaits room %v: stopped %v, unmet %v", awaits, out.Stop, out.Unmet)
+		}
+	}
+}
+
+// A new leader's take-over is settled when the machines that its records name have reported or
+// their leases are over. What runs as stored is told nothing; what is gone is begun elsewhere.
+func TestTakeoverIsFollowed(t *testing.T) {
+	l, reports, now := fleetOf(t, 4)
+	next := successor(l, written(l), now, l.jobs["j-7"].spec)
+	next.takeover.RecordsRead(now)
+	for i, r := range reports[:3] {
+		r.Token = 6
+		r.Seq += 10
+		if i == 2 { // its lease ran out meanwhile
+			r.Session, r.Tasks = r.Session+1, nil
+		}
+		if answer := next.report(r, now.Add(time.Second)); answer == nil || len(answer.Calls) > 0 {
+			t.Errorf("%s is told %+v", r.Machine, answer)
+		}
+	}
+	next.settleTakeover(now.Add(time.Second))
+	if p := next.takeover.Progress(now.Add(time.Second)); p.Phase != reconcile.Hearing || p.Expected != 4 || p.Heard != 3 {
+		t.Errorf("one is missing: %+v", p)
+	}
+	over := now.Add(2 * next.Derived.LeaseOver)
+	next.expire(over)
+	next.settleTakeover(over)
+	p := next.takeover.Progress(over)
+	if p.Phase != reconcile.Settled || p.Heard != 3 || p.Never != 1 || len(p.Commands) > 0 {
+		t.Errorf("its lease is over: %+v", p)
+	}
+	gone := 0
+	for _, a := range next.jobs["j-7"].tasks {
+		if a.outcome == retry {
+			gone++
+		}
+	}
+	if gone < 2 {
+		t.Errorf("%d tasks are to be begun anew", gone)
+	}
+}
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -26,6 +26,9 @@
 	SlowBoots     float64 `json:"slowBoots"`
 	LateBoots     float64 `json:"lateBoots"`
 	DueShare      float64 `json:"dueShare"`
+	// TakeoverPatience scales how long work waits in a take-over before others are stopped for
+	// it, while machines that may have room have not reported; 0 is not at all.
+	TakeoverPatience float64 `json:"takeoverPatience"`
 	// AuditS is how often all records are compared with what a node knows; 0 is never.
 	AuditS float64 `json:"auditS"`
 	// RunUncertainAfterS is how long a job is held of which it is not certain that it is
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -49,7 +49,7 @@
 }
 
 func TestLoadOperator(t *testing.T) {
-	if d := DefaultOperator(); d.SilentReports != 3 || d.HoldReports != 2 || d.VerdictGapS != 1 || d.DueShare != 0.4 || d.IdleBoots != 0.5 || d.SlowBoots != 2 || d.LateBoots != 4 {
+	if d := DefaultOperator(); d.SilentReports != 3 || d.HoldReports != 2 || d.VerdictGapS != 1 || d.DueShare != 0.4 || d.TakeoverPatience != 1 || d.IdleBoots != 0.5 || d.SlowBoots != 2 || d.LateBoots != 4 {
 		t.Errorf("defaults: %+v", d)
 	}
 	for _, tc := range []struct{ name, body, want string }{
