--- /dev/null
+++ b/internal/node/certainty.go
@@ -0,0 +1,124 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"ospreyslip/internal/loss"
+	"ospreyslip/internal/peer"
+)
+
+// This file finds out, by asking the other controllers, what this node may take for certain:
+// that it knows all jobs, and that nobody relies on what its earlier life may have promised.
+
+// becomeSure finds out, after a start, whether this node has begun with all records there
+// were: all other controllers are asked how many jobs they know, and a reading of the records
+// that begins after their answers must have as many. Where one does not answer, the leader's
+// word does, or in the end the time that most outages last.
+func (n *Node) becomeSure(ctx context.Context) {
+	for time.Since(n.born) < n.d.Cancel && !n.cache.Settled() {
+		others, err := n.askOthers(ctx)
+		switch {
+		case err != nil:
+		case others.noticed != "":
+			n.losses.notice(loss.Loss{Kind: loss.ReportedByPeer, Key: others.noticed})
+		case n.cache.Listed() && !n.wasPutBack(ctx, others.newest):
+			n.cache.Expect(others.known, false)
+		}
+		if !n.sleep(ctx, n.d.TermRenew/2) {
+			return
+		}
+	}
+	n.cache.BeSure()
+}
+
+// staySure asks all other controllers after each outage of the state service whether that
+// was put back in it: a node that read nothing of what was lost would not notice. Where one
+// does not answer, the time that most outages last has to do.
+func (n *Node) staySure(ctx context.Context) {
+	var servedSince time.Time // since the last outage; zero if nothing is to be found out
+	for n.sleep(ctx, n.d.TermRenew/2) {
+		if n.cache.Confirmed() || n.store.Failing() {
+			servedSince = time.Time{}
+			continue
+		}
+		if servedSince.IsZero() {
+			servedSince = time.Now()
+		}
+		if time.Since(servedSince) < n.d.TermRenew {
+			n.cache.CheckWitnesses()
+			continue // what the others have compared by then, they have compared after it
+		}
+		outages := n.store.Outages()
+		others, err := n.askOthers(ctx)
+		heard := err == nil && others.ready && others.noticed == "" && !n.wasPutBack(ctx, others.newest)
+		if heard || time.Since(servedSince) > n.d.Cancel {
+			n.cache.Confirm(outages)
+		}
+	}
+}
+
+// sleep waits; it returns false if the context has ended.
+func (n *Node) sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// othersKnow is what all other controllers have said of the records.
+type othersKnow struct {
+	known   int    // the most jobs that one of them knows
+	newest  uint64 // the newest revision that one of them has seen
+	noticed string // one that has noticed a loss
+	ready   bool   // each has found the newest that it knows in the records, just now
+}
+
+// askOthers asks all other controllers what they know. It fails unless all answer.
+func (n *Node) askOthers(ctx context.Context) (others othersKnow, err error) {
+	ctx, cancel := context.WithTimeout(ctx, n.d.TermRenew)
+	defer cancel()
+	others.ready = true
+	for _, name := range n.hub.Peers() {
+		page, err := n.hub.AskLost(ctx, name, peer.Question{})
+		if err != nil {
+			return othersKnow{}, err
+		}
+		others.ready = others.ready && page.Ready
+		if page.Noticed {
+			others.noticed = name
+		}
+		others.known, others.newest = max(others.known, page.Known), max(others.newest, page.Newest)
+	}
+	return others, nil
+}
+
+// nobodyRelies tells whether every other controller has answered this process that it relies
+// on no promise. They are asked together: a node that has just begun waits for them.
+func (n *Node) nobodyRelies(ctx context.Context) bool {
+	asked := n.hub.Peers()
+	answers := make(chan bool, len(asked))
+	for _, name := range asked {
+		go func() {
+			page, err := n.hub.AskLost(ctx, name, peer.Question{})
+			answers <- err == nil && page.ReliesOnNothing
+		}()
+	}
+	all := true
+	for range asked {
+		all = <-answers && all
+	}
+	return all
+}
+
+// wasPutBack tells whether the state service is at an older revision than another controller
+// had seen before, or does not tell.
+func (n *Node) wasPutBack(ctx context.Context, newest uint64) bool {
+	now, err := n.store.Revision(ctx)
+	if err == nil && now < newest {
+		n.losses.notice(loss.Loss{Kind: loss.RevisionBack, Known: newest, Found: now})
+	}
+	return err != nil || now < newest
+}
