--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -64,6 +64,12 @@
 
 // inCluster runs a scenario. Whatever it does, no rule may be broken.
 func inCluster(t *testing.T, tweak func(*settings.Settings), scenario func(c *cluster)) {
+	t.Helper()
+	inClusterWith(t, testTypes, tweak, scenario)
+}
+
+// inClusterWith is inCluster with machine types of its own.
+func inClusterWith(t *testing.T, types []jobs.MachineType, tweak func(*settings.Settings), scenario func(c *cluster)) {
 	t.Helper()
 	t.Parallel() // each has a bubble of its own
 	synctest.Test(t, func(t *testing.T) {
@@ -73,7 +79,7 @@
 		for _, n := range c.names {
 			pace.Addrs[n] = addrOf(n)
 		}
-		c.world = standin.NewWorld(ctx, testTypes, pace)
+		c.world = standin.NewWorld(ctx, types, pace)
 		c.world.Cancel = 40 * time.Second
 		c.world.Teams = c.settings(c.names[0]).Deployment.Teams
 		c.world.Net.Attach("state", "10.2.0.1:1", c.world.State)
--- a/internal/node/limits_test.go
+++ b/internal/node/limits_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -127,16 +128,15 @@
 // A catalog that does not fit into one value is kept in parts, for a node that starts
 // while the cloud is away.
 func TestLargeCatalog(t *testing.T) {
-	old := testTypes
-	defer func() { testTypes = old }()
+	types := slices.Clone(testTypes) // those of all tests that run beside this one stay as they are
 	for i := range 30 {
-		another := old[0]
+		another := types[0]
 		another.Name, another.Price, another.SpotPrice = fmt.Sprint("dear-", i), 100, 50
-		testTypes = append(testTypes[:len(testTypes):len(testTypes)], another)
+		types = append(types, another)
 	}
 	kb := 2.0
 	tweak := func(s *settings.Settings) { s.Deployment.State.Next = &settings.NextState{ValueKB: &kb} }
-	inCluster(t, tweak, func(c *cluster) {
+	inClusterWith(t, types, tweak, func(c *cluster) {
 		c.run(20 * time.Second)
 		c.world.CloudDown(true)
 		c.crash(c.names...)
