Gangs: machines that a gang waits for are counted, and not given back meanwhile

What callers saw: a gang whose tasks must be in one zone stayed queued for more than four minutes, and without end, while the cloud had machines to give. Cause: with one machine up and idle and another booting, the scale-out counted the booting one only and asked for one more; the scale-in released the idle one after half a boot time. Machines of the gang came and went one after the other. A reservation for a gang counted as tasks in their zone, too. Change: a gang is provisioned for as a whole, on free running, booting, then new machines, in the zone where that is cheapest; idle machines that it needs with booting ones are kept. Why it works: what is up and what is coming are now parts of one sum, so nothing is asked for twice, and no part of the sum is taken away while the rest comes.

--- a/internal/autoscaler/scale_out.go
+++ b/internal/autoscaler/scale_out.go
@@ -21,31 +21,34 @@
 	Types         []jobs.MachineType
 	MachineCounts map[MachinePool]int         // existing machines, so that new ones are spread over zones
 	OutOfCapacity func(pool MachinePool) bool // reports whether the cloud recently had no machine of the pool
+	// Running lists the machines that accept tasks, in the order in which gangs use them. Only gangs
+	// can have unplaced tasks that fit there: any other task would have been placed already.
+	Running []*placement.Machine
 }
 
 // PlanScaleOut returns how many machines of each pool to provision. It places the tasks of the
 // demands in order: each goes to a booting machine if one has room, otherwise to a machine that
 // the plan already provisions, and otherwise to a new machine of the pool with the lowest price
-// per task of its job. Demands that no pool can serve are left out.
+// per task of its job. Tasks of gangs first go to running machines. Demands that no pool can serve
+// are left out, as are gangs that would not be complete.
 func PlanScaleOut(demands []Demand, booting map[MachinePool]int, market Market) map[MachinePool]int {
 	plan := newScaleOutPlan(booting, market)
 	for _, demand := range demands {
-		tasksByZone := make(map[string]int, len(demand.TasksByZone)+1)
-		maps.Copy(tasksByZone, demand.TasksByZone)
-		for remaining := demand.Count; remaining > 0; remaining-- {
-			machine, ok := plan.tightestFit(demand.Spec, tasksByZone)
-			if !ok {
-				if machine, ok = plan.provision(demand.Spec, tasksByZone, remaining); !ok {
-					break
-				}
-			}
-			plan.placeTask(demand.Spec, machine)
-			tasksByZone[machine.Zone]++
+		if demand.Spec.Shape == jobs.Gang {
+			plan.placeGang(demand)
+			continue
 		}
+		plan.placeTasks(demand.Spec, demand.copyTasksByZone(), demand.Count)
 	}
 	return plan.provisioned
 }
 
+func (d Demand) copyTasksByZone() map[string]int {
+	tasksByZone := make(map[string]int, len(d.TasksByZone)+1)
+	maps.Copy(tasksByZone, d.TasksByZone)
+	return tasksByZone
+}
+
 // PoolsLargestFirst returns the pools of a plan in a deterministic order, those with the most
 // machines first.
 func PoolsLargestFirst(plan map[MachinePool]int) []MachinePool {
@@ -64,6 +67,10 @@
 	market      Market
 	available   map[capacity]int // machines that are booting or to be provisioned, counted by capacity
 	provisioned map[MachinePool]int
+	price       float64 // of the machines to be provisioned, per hour
+
+	runningFree map[*placement.Machine]placement.Resources // what gangs leave free on the running machines that they use
+	onlyZone    string                                     // if set, machines of other zones are skipped
 }
 
 // capacity identifies machines of one pool with the same free resources. Most machines are alike,
@@ -74,7 +81,10 @@
 }
 
 func newScaleOutPlan(booting map[MachinePool]int, market Market) *scaleOutPlan {
-	s := &scaleOutPlan{market: market, available: map[capacity]int{}, provisioned: map[MachinePool]int{}}
+	s := &scaleOutPlan{
+		market: market, available: map[capacity]int{}, provisioned: map[MachinePool]int{},
+		runningFree: map[*placement.Machine]placement.Resources{},
+	}
 	for pool, count := range booting {
 		if machineType := findType(pool.Type, market.Types); machineType != nil && count > 0 {
 			s.available[capacity{pool, placement.MachineTotal(machineType)}] += count
@@ -83,12 +93,33 @@
 	return s
 }
 
+// placeTasks places up to count tasks of a job on machines that are booting or to be provisioned, and
+// returns how many do not fit.
+func (s *scaleOutPlan) placeTasks(spec *jobs.Spec, tasksByZone map[string]int, count int) (unplaced int) {
+	for ; count > 0; count-- {
+		machine, ok := s.tightestFit(spec, tasksByZone)
+		if !ok {
+			if machine, ok = s.provision(spec, tasksByZone, count); !ok {
+				return count
+			}
+		}
+		s.placeTask(spec, machine)
+		tasksByZone[machine.Zone]++
+	}
+	return 0
+}
+
+// allows reports whether one more task of a job may run on machines of a pool.
+func (s *scaleOutPlan) allows(spec *jobs.Spec, pool MachinePool, tasksByZone map[string]int) bool {
+	return spec.Allows(pool.Type, pool.Zone, pool.Spot) && (s.onlyZone == "" || s.onlyZone == pool.Zone) &&
+		placement.TopologyAllows(spec, tasksByZone, pool.Zone)
+}
+
 // tightestFit returns the machine with the least free resources on which a task fits.
 func (s *scaleOutPlan) tightestFit(spec *jobs.Spec, tasksByZone map[string]int) (best capacity, found bool) {
 	request := placement.TaskRequest(spec)
 	for candidate := range s.available {
-		if !spec.Allows(candidate.Type, candidate.Zone, candidate.Spot) || !candidate.free.Fits(request) ||
-			!placement.TopologyAllows(spec, tasksByZone, candidate.Zone) {
+		if !candidate.free.Fits(request) || !s.allows(spec, candidate.MachinePool, tasksByZone) {
 			continue
 		}
 		if !found || compareCapacity(candidate, best) < 0 {
@@ -128,7 +159,7 @@
 		}
 		tasks := min(remaining, tasksPerMachine(machineType, spec))
 		for _, pool := range poolsOf(machineType) {
-			if !spec.Allows(pool.Type, pool.Zone, pool.Spot) || !placement.TopologyAllows(spec, tasksByZone, pool.Zone) || s.market.OutOfCapacity(pool) {
+			if !s.allows(spec, pool, tasksByZone) || s.market.OutOfCapacity(pool) {
 				continue
 			}
 			if option := s.option(machineType, pool, tasks); !ok || option.compare(best) < 0 {
@@ -140,6 +171,7 @@
 		return machine, false
 	}
 	s.provisioned[best.pool]++
+	s.price += best.price
 	machine = capacity{best.pool, placement.MachineTotal(best.machineType)}
 	s.available[machine]++
 	return machine, true
@@ -149,6 +181,7 @@
 type poolOption struct {
 	pool              MachinePool
 	machineType       *jobs.MachineType
+	price             float64 // price of a machine per hour
 	pricePerTask      float64 // price of a machine per task that it would run
 	hasPartialRequest bool    // the last planned request for the pool asks for fewer than MaxMachinesPerRequest
 	machineCount      int     // machines that exist or are to be provisioned
@@ -162,6 +195,7 @@
 	return poolOption{
 		pool:              pool,
 		machineType:       machineType,
+		price:             price,
 		pricePerTask:      price / float64(tasks),
 		hasPartialRequest: s.provisioned[pool]%MaxMachinesPerRequest != 0,
 		machineCount:      s.market.MachineCounts[pool] + s.provisioned[pool],
--- a/internal/controller/gang_scheduling_test.go
+++ b/internal/controller/gang_scheduling_test.go
@@ -281,3 +281,20 @@
 		}
 	})
 }
+
+// TestGangMachinesBootApart guards against a gang of one zone that waits indefinitely because each of
+// its machines comes up after the one before it was released as idle. At first the cloud has a single
+// machine to give, so that the two machines boot further apart than an idle one is kept.
+func TestGangMachinesBootApart(t *testing.T) {
+	keepIdleBriefly := func(set *settings.Settings) { set.Operator.IdleBootTimes = 0.25 }
+	runCluster(t, keepIdleBriefly, func(c *cluster) {
+		c.world.SetCapacity(1)
+		c.submit("perch-0", gangJob("j-1", 4, 5)) // two tasks fit on a machine
+		c.advance(time.Second)
+		c.world.SetCapacity(8)
+		c.waitFor(maxLargestJobWait, "the gang running", c.gangRuns("j-1", 4))
+	})
+}
+
+// maxLargestJobWait is the protocol's bound on the time until the largest jobs start.
+const maxLargestJobWait = 4 * time.Minute
--- a/internal/leader/scaler/provision.go
+++ b/internal/leader/scaler/provision.go
@@ -53,6 +53,7 @@
 	plan := autoscaler.PlanScaleOut(demands, booting, autoscaler.Market{
 		Types: s.deps.Catalog.Types(), MachineCounts: existing,
 		OutOfCapacity: func(pool autoscaler.MachinePool) bool { return s.isUnavailable(pool, now) },
+		Running:       s.runningMachines(now, demands),
 	})
 	for _, pool := range autoscaler.PoolsLargestFirst(plan) {
 		for remaining := plan[pool]; remaining > 0 && s.provisioning.inFlight < s.deps.Derived.Cloud.MaxProvisionRequestsInFlight; remaining -= autoscaler.MaxMachinesPerRequest {
--- a/internal/leader/scaler/release.go
+++ b/internal/leader/scaler/release.go
@@ -32,11 +32,12 @@
 	return ids
 }
 
-// machinesToRelease returns the machines that are no longer needed, sorted by id.
-func (s *Scaler) machinesToRelease(now time.Time) []*cluster.Machine {
+// machinesToRelease returns the machines that are no longer needed, sorted by id. It leaves out those
+// that waiting gangs need.
+func (s *Scaler) machinesToRelease(now time.Time, neededByGangs map[string]bool) []*cluster.Machine {
 	var unneeded []*cluster.Machine
 	for _, m := range s.deps.State.Machines.All {
-		if s.shouldRelease(m, now) {
+		if !neededByGangs[m.ID] && s.shouldRelease(m, now) {
 			unneeded = append(unneeded, m)
 		}
 	}
--- a/internal/leader/scaler/scaler.go
+++ b/internal/leader/scaler/scaler.go
@@ -101,7 +101,7 @@
 func (s *Scaler) Reconcile(ctx context.Context, now time.Time, unmetDemand []placement.Demand) {
 	s.lastRunAt = now
 	defer func() { s.lastRunDuration = time.Since(now) }()
-	s.Release(ctx, s.machinesToRelease(now)...)
+	s.Release(ctx, s.machinesToRelease(now, s.machinesForGangs(now, unmetDemand))...)
 	if now.Before(s.provisionAfter) && s.host.Term() > 1 {
 		return
 	}
--- a/internal/placement/bin_packing.go
+++ b/internal/placement/bin_packing.go
@@ -37,7 +37,7 @@
 			continue
 		}
 		pool.eachWithCPUs(request, func(machine *Machine) (more bool) {
-			if !machine.accepts(job) || !machine.Free.Fits(request) || p.requireImage && !machine.Images[image] {
+			if !machine.Accepts(job.Spec) || !machine.Free.Fits(request) || p.requireImage && !machine.Images[image] {
 				return true
 			}
 			leftover := freeShareAfter(machine, request)
--- a/internal/placement/machine.go
+++ b/internal/placement/machine.go
@@ -31,9 +31,10 @@
 	Starved   bool    // placed ahead of the queue because its job was starved
 }
 
-// accepts reports whether a machine takes tasks of the job, regardless of its free resources.
-func (m *Machine) accepts(job *Job) bool {
-	return !m.AvoidJobs[job.Spec.ID] && (!m.Straggler || job.Spec.Shape == jobs.Service)
+// Accepts reports whether a machine takes tasks of a job, regardless of its type, zone and free
+// resources.
+func (m *Machine) Accepts(spec *jobs.Spec) bool {
+	return !m.AvoidJobs[spec.ID] && (!m.Straggler || spec.Shape == jobs.Service)
 }
 
 // imageFetchS returns the time in seconds that a machine needs to fetch an image. Images fetched
--- a/internal/placement/preemption.go
+++ b/internal/placement/preemption.go
@@ -59,7 +59,7 @@
 	for tasksWithRoom < count && options.Len() > 0 {
 		option := options.cheapest()
 		machine := option.machine
-		if !machine.accepts(job) || !TopologyAllows(job.Spec, job.TasksByZone, machine.Zone) {
+		if !machine.Accepts(job.Spec) || !TopologyAllows(job.Spec, job.TasksByZone, machine.Zone) {
 			heap.Pop(options)
 			continue
 		}
@@ -101,7 +101,7 @@
 // already being released. It returns false if the task does not fit even without all tasks that
 // may be preempted.
 func (p *planner) cheapestVictims(search victimSearch, machine *Machine) (option preemptionOption, ok bool) {
-	if !machine.accepts(search.job) {
+	if !machine.Accepts(search.job.Spec) {
 		return option, false
 	}
 	option.machine = machine
--- a/internal/placement/reservation.go
+++ b/internal/placement/reservation.go
@@ -19,7 +19,7 @@
 func (p *planner) emptiestUnchanged(job *Job) *Machine {
 	return p.Index.emptiest(func(machine *Machine) bool {
 		_, changed := p.originalFree[machine]
-		return !changed && machine.Total.Fits(TaskRequest(job.Spec)) && machine.accepts(job) &&
+		return !changed && machine.Total.Fits(TaskRequest(job.Spec)) && machine.Accepts(job.Spec) &&
 			(p.onlyZone == "" || machine.Zone == p.onlyZone)
 	})
 }
@@ -40,6 +40,9 @@
 		return
 	}
 	machines, _ := p.placeAsManyAsFit(job, zones[best])
+	for _, machine := range machines {
+		job.TasksByZone[machine.Zone]-- // the capacity is reserved, but no task is placed
+	}
 	request := TaskRequest(job.Spec)
 	remaining := job.Pending - len(machines)
 	for remaining > 0 {
@@ -64,7 +67,7 @@
 			continue
 		}
 		pool.each(func(machine *Machine) {
-			if count >= job.Pending || !machine.accepts(job) {
+			if count >= job.Pending || !machine.Accepts(job.Spec) {
 				return
 			}
 			p.loadTasks(machine)
