Scale-in: an idle machine that a plan has reserved for a gang is kept

What callers saw: a gang for which room was reserved waited for a new machine to boot, as the one that was already empty had been released; where the cloud has no capacity left, it may not come back. Cause: the scale-in did not know of the placement's reservations, and a reserved machine is idle. Change: a plan names the machines that it reserves for a gang; usable ones are not released meanwhile. Why it works: a reservation lasts as long as the gang waits for it, and so does the hold; both come from the same plan.

--- a/internal/controller/gang_scheduling_test.go
+++ b/internal/controller/gang_scheduling_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -296,5 +297,31 @@
 	})
 }
 
+// TestReservedMachinesAreKept guards against the release of an idle machine that is reserved for a gang
+// until another machine of its zone is free, too. In a cloud without capacity it may not come back.
+func TestReservedMachinesAreKept(t *testing.T) {
+	runCluster(t, nil, func(c *cluster) {
+		c.world.SetCapacity(2)
+		for i, seconds := range []float64{20, 70} {
+			job := batchJob(fmt.Sprint("j-", i+1), 1, seconds)
+			job.CPUs, job.Zone, job.Spot = testMachineTypes[0].CPUs, "a", false
+			deadlineS := seconds + 30 // too short for both on one machine
+			job.DeadlineS = &deadlineS
+			c.submit("perch-0", job)
+		}
+		c.waitFor(40*time.Second, "both machines in use", func() bool {
+			return c.tasksOnMachines("j-1", 1) == 1 && c.tasksOnMachines("j-2", 1) == 1
+		})
+		machines := c.world.Machines()
+		gang := gangJob("j-3", 4, 400) // room is reserved for a share of the run time
+		gang.Zone = "a"
+		c.submit("perch-0", gang)
+		c.waitFor(maxLargestJobWait, "the gang running", c.gangRuns("j-3", 4))
+		if after := c.world.Machines(); !slices.Equal(after, machines) {
+			t.Errorf("machines %v before, %v when the gang runs", machines, after)
+		}
+	})
+}
+
 // maxLargestJobWait is the protocol's bound on the time until the largest jobs start.
 const maxLargestJobWait = 4 * time.Minute
--- a/internal/leader/scaler/gangs.go
+++ b/internal/leader/scaler/gangs.go
@@ -15,18 +15,24 @@
 // gangs will be placed once further machines have booted.
 func (s *Scaler) machinesForGangs(now time.Time, unmetDemand []placement.Demand) map[string]bool {
 	var gangs []autoscaler.Demand
+	var reserved []*placement.Machine
 	for _, d := range unmetDemand {
 		if d.Job.Spec.Shape == jobs.Gang {
 			gangs = append(gangs, autoscaler.Demand{Spec: d.Job.Spec, TasksByZone: d.Job.TasksByZone, Count: d.Count})
+			reserved = append(reserved, d.Job.Reserved...)
 		}
 	}
 	if len(gangs) == 0 {
 		return nil
 	}
 	existing, booting := s.supply(now)
-	return autoscaler.MachinesForGangs(gangs, booting, autoscaler.Market{
+	needed := autoscaler.MachinesForGangs(gangs, booting, autoscaler.Market{
 		Types: s.deps.Catalog.Types(), MachineCounts: existing, Running: s.runningMachines(now, gangs),
 	})
+	for _, machine := range reserved {
+		needed[machine.ID] = true
+	}
+	return needed
 }
 
 // runningMachines returns the machines that accept tasks and have free resources, the fullest first.
--- a/internal/leader/scaler/release.go
+++ b/internal/leader/scaler/release.go
@@ -32,12 +32,15 @@
 	return ids
 }
 
-// machinesToRelease returns the machines that are no longer needed, sorted by id. It leaves out those
-// that waiting gangs need.
+// machinesToRelease returns the machines that are no longer needed, sorted by id. It leaves out
+// usable ones that waiting gangs need.
 func (s *Scaler) machinesToRelease(now time.Time, neededByGangs map[string]bool) []*cluster.Machine {
 	var unneeded []*cluster.Machine
 	for _, m := range s.deps.State.Machines.All {
-		if !neededByGangs[m.ID] && s.shouldRelease(m, now) {
+		if neededByGangs[m.ID] && s.host.IsUsable(m, now) {
+			continue
+		}
+		if s.shouldRelease(m, now) {
 			unneeded = append(unneeded, m)
 		}
 	}
--- a/internal/placement/input.go
+++ b/internal/placement/input.go
@@ -36,6 +36,10 @@
 	// gang fits.
 	ReserveRoom bool
 
+	// Reserved lists the machines that the plan has reserved for a gang without placing anything on
+	// them. Plan sets it.
+	Reserved []*Machine
+
 	// roomReserved is set once the plan has reserved machines for a gang, either for as long as
 	// victims take to stop or for a limited time. The second queue entry of the gang must not
 	// reserve machines again.
--- a/internal/placement/reservation.go
+++ b/internal/placement/reservation.go
@@ -43,6 +43,7 @@
 	for _, machine := range machines {
 		job.TasksByZone[machine.Zone]-- // the capacity is reserved, but no task is placed
 	}
+	job.Reserved = append(job.Reserved, machines...)
 	request := TaskRequest(job.Spec)
 	remaining := job.Pending - len(machines)
 	for remaining > 0 {
@@ -51,6 +52,7 @@
 			return
 		}
 		p.setFree(machine, Resources{})
+		job.Reserved = append(job.Reserved, machine)
 		for room := machine.Total; remaining > 0 && room.Fits(request); remaining-- {
 			room = room.AddTimes(request, -1)
 		}
--- a/internal/placement/reservation_test.go
+++ b/internal/placement/reservation_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
+
 	"ospreyslip/internal/jobs"
 )
 
@@ -34,3 +36,15 @@
 		}
 	}
 }
+
+// TestReservedMachinesAreNamed guards against the release of idle machines that are reserved for a
+// gang: the plan names both the machine with room and the one that will have room.
+func TestReservedMachinesAreNamed(t *testing.T) {
+	var reserved []string
+	for _, machine := range planReservation(t).Job.Reserved {
+		reserved = append(reserved, machine.ID)
+	}
+	if d := cmp.Diff([]string{"a1", "a2"}, reserved); d != "" {
+		t.Errorf("(-want +got):\n%s", d)
+	}
+}
