Recovery: an orphaned job is taken in before its mark is removed

What callers would have seen: after a loss of records, a task that runs could be started on another machine. Cause: when the record of an orphaned job was found, the entry that says so was removed first. The job was then taken in as a new one, and its tasks placed at once instead of adopted. Evidence: TestTasksOfFoundOrphanAreExpected asks, at the moment of taking in, whether unlogged tasks are expected; it failed before. Change: the entry is removed afterwards.

--- a/internal/leader/recoverer/orphans.go
+++ b/internal/leader/recoverer/orphans.go
@@ -87,11 +87,12 @@
 	})
 }
 
-// recordFound applies the record of a job that this leader did not know.
+// recordFound applies the record of a job that this leader did not know. The job is orphaned until
+// then, so that its tasks are adopted, and not placed elsewhere.
 func (o *orphanedTasks) recordFound(id string, record kvstore.KeyValue, now time.Time) {
-	delete(o.byJob, id)
 	o.cfg.Cache.Apply(record.Key, record.Value, record.Revision)
 	o.cfg.Leader.JobChanged(kvstore.Change{Set: record.Key, Value: record.Value, Revision: record.Revision}, now)
+	delete(o.byJob, id)
 }
 
 // MustKeepOrphan reports whether a task without an assignment must be neither stopped nor cleared,
--- a/internal/leader/recoverer/orphans_test.go
+++ b/internal/leader/recoverer/orphans_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"ospreyslip/internal/jobs"
+	"ospreyslip/internal/kvstore"
 	"ospreyslip/internal/workers"
 )
 
@@ -44,3 +45,22 @@
 		}
 	}
 }
+
+// TestTasksOfFoundOrphanAreExpected guards against a second start of a task that runs: when the record of
+// a job is found because a worker reports its tasks, the leader must know of these tasks as it takes in
+// the record, or it would place them elsewhere.
+func TestTasksOfFoundOrphanAreExpected(t *testing.T) {
+	const id = "j-000001"
+	s := newScenario(t)
+	task := runningTask(id, 0, 1)
+	s.MustKeepOrphan(s.addMachine("m-1"), &task)
+	expected := false
+	s.leader.onJobChanged = func(id string) { expected = s.MayHaveUnloggedTasks(id) }
+	s.orphans.recordFound(id, kvstore.KeyValue{Key: jobs.RecordKey(id), Value: []byte("{}"), Revision: 7}, s.now)
+	if !expected {
+		t.Error("the job is taken in as one without tasks")
+	}
+	if len(s.orphans.byJob) > 0 {
+		t.Error("the job still counts as orphaned")
+	}
+}
--- a/internal/leader/recoverer/recoverer_test.go
+++ b/internal/leader/recoverer/recoverer_test.go
@@ -22,9 +22,10 @@
 
 // fakeLeader records the calls of a recovery.
 type fakeLeader struct {
-	tokens      Tokens
-	lastAttempt uint64
-	calls       []string
+	tokens       Tokens
+	lastAttempt  uint64
+	calls        []string
+	onJobChanged func(id string) // if set, called by JobChanged
 }
 
 func (f *fakeLeader) record(call string)       { f.calls = append(f.calls, call) }
@@ -48,6 +49,9 @@
 func (f *fakeLeader) CompleteElsewhere(job *cluster.Job)   { f.record("complete " + job.ID) }
 func (f *fakeLeader) JobChanged(c kvstore.Change, _ time.Time) {
 	f.record("changed " + jobs.JobIDFromKey(c.Set))
+	if f.onJobChanged != nil {
+		f.onJobChanged(jobs.JobIDFromKey(c.Set))
+	}
 }
 func (f *fakeLeader) QueueJob(job *cluster.Job)             { f.record("queue " + job.ID) }
 func (f *fakeLeader) StopGang(job *cluster.Job)             { f.record("stop gang " + job.ID) }
