Store client: a large list may take longer than a small request, as long as it arrives

What callers saw: after a restart of all controllers with 2,000 machines on 7% of a core, a leader that had just been elected resigned, and the next one began again with the same burst of workers. Cause: a page of up to 512 KiB had to be read within the timeout of any request, half a leadership lease. On a processor that thousands of workers keep busy, reading it takes longer, though the store has answered. Change: the timeout of a list runs from the last part of the response that was read. Why it works: the term is renewed meanwhile, so the leader may take its time; a store that stops responding is still noticed after the same timeout.

--- a/internal/kvstore/client.go
+++ b/internal/kvstore/client.go
@@ -83,14 +83,26 @@
 	body      any  // sent as JSON; nil sends no body
 	result    any  // destination of the response's JSON body; nil discards the body
 	longPoll  bool // the store may delay the response, which therefore does not prove that it is available
+	// largeResponse applies the timeout to each part of the response rather than to all of it. On a
+	// busy processor, reading it may take longer than the timeout.
+	largeResponse bool
+	progress      *progressTimeout // set by do for a large response
 }
 
 // do sends a request within the request rate and a timeout, and returns the status of the response.
 // A status that means the same for every request is returned as an error; the caller interprets all
 // others.
 func (c *Client) do(ctx context.Context, timeout time.Duration, req *request) (status int, err error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
+	if req.largeResponse {
+		var progress *progressTimeout
+		ctx, progress = withProgressTimeout(ctx, timeout)
+		defer progress.stop()
+		req.progress = progress
+	} else {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, timeout)
+		defer cancel()
+	}
 	if err := c.requestLimiter.Wait(ctx); err != nil {
 		return 0, req.newError(0, fmt.Errorf("%w: request rate: %w: %w", ErrNotExecuted, ErrRateLimited, err))
 	}
@@ -158,6 +170,9 @@
 // decodeResponse decodes or discards a response body. It reads to the end of the body, so that the
 // connection can be reused.
 func (r *request) decodeResponse(body io.Reader) error {
+	if r.progress != nil {
+		body = r.progress.reader(body)
+	}
 	if r.result == nil {
 		_, err := io.Copy(io.Discard, body)
 		return err
--- a/internal/kvstore/read.go
+++ b/internal/kvstore/read.go
@@ -77,7 +77,7 @@
 	if after != "" {
 		path += "&after=" + url.QueryEscape(after)
 	}
-	req := request{operation: "list " + prefix, method: http.MethodGet, path: path, result: &page}
+	req := request{operation: "list " + prefix, method: http.MethodGet, path: path, result: &page, largeResponse: true}
 	status, err := c.do(ctx, c.timeout, &req)
 	if err == nil && status != http.StatusOK {
 		err = req.unexpectedStatus(status)
