Store client: a lease counts as revoked only if the store says so

What callers would have seen: a controller that revokes the lease of the last leader before it campaigns would have gone on although the store had rejected that, with 400, 409 or 410, and the last leader could still renew. Cause: the status of the response was dropped; only 429, 503 and undefined statuses were errors. Change: 200 and 404 are success, any other status is an error. Why it works: the campaign treats an error as an unknown state of the lease, and tries again.

--- a/internal/kvstore/lease.go
+++ b/internal/kvstore/lease.go
@@ -58,7 +58,11 @@
 // RevokeLease revokes a lease and removes the keys that are tied to it. It returns no error if the
 // lease has already expired.
 func (c *Client) RevokeLease(ctx context.Context, lease uint64) error {
-	_, err := c.do(ctx, c.timeout, &request{operation: "revoke lease", method: http.MethodDelete, path: leasePath(lease)})
+	req := request{operation: "revoke lease", method: http.MethodDelete, path: leasePath(lease)}
+	status, err := c.do(ctx, c.timeout, &req)
+	if err == nil && status != http.StatusOK && status != http.StatusNotFound {
+		err = req.unexpectedStatus(status)
+	}
 	return err
 }
 
