Controller: connections that their client has closed are not served

Cause: a worker that gets no answer for four seconds closes its connection and connects again. The closed one still waits to be accepted, with a whole heartbeat in it. It was served, for nobody, while the present ones waited until they were given up in their turn; renewals of the term waited behind all of that. Why it works: a given-up connection costs one look instead of a whole heartbeat, so the queue becomes shorter faster than workers give up.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -162,7 +162,7 @@
 		ErrorLog:          slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
 	}
 	group.Go(func() error {
-		err := server.Serve(netutil.LimitListener(yieldingListener{listener}, c.derived.Host.ServedConns))
+		err := server.Serve(netutil.LimitListener(openConnListener{yieldingListener{listener}}, c.derived.Host.ServedConns))
 		if errors.Is(err, http.ErrServerClosed) {
 			return nil
 		}
