--- a/internal/jobs/submission.go
+++ b/internal/jobs/submission.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"math"
-	"reflect"
 	"slices"
 )
 
@@ -50,7 +49,7 @@
 func ParseSpec(raw []byte) (*Spec, error) {
 	var input submission
 	if err := json.Unmarshal(raw, &input); err != nil {
-		return nil, withoutGoType(err)
+		return nil, err
 	}
 	var check validator
 	spec := &Spec{
@@ -87,32 +86,6 @@
 	return spec, nil
 }
 
-// withoutGoType returns the error of a value of the wrong JSON type in the terms of the protocol. It
-// returns any other error of the decoder unchanged.
-func withoutGoType(err error) error {
-	var mismatch *json.UnmarshalTypeError
-	if !errors.As(err, &mismatch) {
-		return err
-	}
-	if mismatch.Field == "" {
-		return fmt.Errorf("a submission must be a JSON object, not: %s", mismatch.Value)
-	}
-	want := ""
-	switch mismatch.Type.Kind() {
-	case reflect.String:
-		want = "a string"
-	case reflect.Bool:
-		want = "true or false"
-	case reflect.Int:
-		want = "an integer"
-	case reflect.Float64:
-		want = "a number"
-	default:
-		want = "null or a list"
-	}
-	return &InvalidFieldError{Field: mismatch.Field, Want: want}
-}
-
 // validator collects the errors in the fields of a submission.
 type validator struct{ errs []error }
 
