Jobs: a submission with a value of the wrong type is answered in terms of the protocol

What callers saw: 400 with "json: cannot unmarshal array into Go value of type jobs.submission" for a body that is no object, and "Go struct field submission.vcpus of type float64" for a field. Cause: the decoder's error was shown unchanged. Evidence: TestParseSpecNamesNoGoType failed before. Change: such an error is told as the field and what it must be; texts of malformed JSON stay. Why it works: the decoder names the field and the kind of value that it wanted.

--- a/internal/jobs/submission.go
+++ b/internal/jobs/submission.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"reflect"
 	"slices"
 )
 
@@ -49,7 +50,7 @@
 func ParseSpec(raw []byte) (*Spec, error) {
 	var input submission
 	if err := json.Unmarshal(raw, &input); err != nil {
-		return nil, err
+		return nil, withoutGoType(err)
 	}
 	var check validator
 	spec := &Spec{
@@ -86,6 +87,35 @@
 	return spec, nil
 }
 
+// withoutGoType returns the error of a value of the wrong JSON type in the terms of the protocol. It
+// returns any other error of the decoder unchanged.
+func withoutGoType(err error) error {
+	var mismatch *json.UnmarshalTypeError
+	if !errors.As(err, &mismatch) {
+		return err
+	}
+	if mismatch.Field == "" {
+		return fmt.Errorf("a submission must be a JSON object, not: %s", mismatch.Value)
+	}
+	return &InvalidFieldError{Field: mismatch.Field, Want: wantedJSON(mismatch.Type.Kind())}
+}
+
+// wantedJSON describes the JSON values that a field of a kind may have.
+func wantedJSON(kind reflect.Kind) string {
+	switch kind {
+	case reflect.String:
+		return "a string"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Int:
+		return "an integer"
+	case reflect.Float64:
+		return "a number"
+	default:
+		return "null or a list"
+	}
+}
+
 // validator collects the errors in the fields of a submission.
 type validator struct{ errs []error }
 
--- a/internal/jobs/submission_test.go
+++ b/internal/jobs/submission_test.go
@@ -52,3 +52,23 @@
 		t.Errorf("submission without fields: error %v, want 17 lines", err)
 	}
 }
+
+// TestParseSpecNamesNoGoType guards against answers to users that name a type of the program instead of the
+// field of the protocol.
+func TestParseSpecNamesNoGoType(t *testing.T) {
+	for _, tc := range []struct{ raw, text string }{
+		{`[]`, "a submission must be a JSON object, not: array"},
+		{`"j-000412"`, "a submission must be a JSON object, not: string"},
+		{`7`, "a submission must be a JSON object, not: number"},
+		{`{"id":7}`, "id must be a string"},
+		{`{"vcpus":"8"}`, "vcpus must be a number"},
+		{`{"talons":1.5}`, "talons must be an integer"},
+		{`{"samePlace":1}`, "samePlace must be true or false"},
+		{`{"perches":"g8"}`, "perches must be null or a list"},
+		{`{`, "unexpected end of JSON input"},
+	} {
+		if _, err := ParseSpec([]byte(tc.raw)); err == nil || err.Error() != tc.text {
+			t.Errorf("%s: %v, want %q", tc.raw, err, tc.text)
+		}
+	}
+}
