README's benchmark command runs: the loopback cluster waits until the controller takes jobs

Cause: a controller that has just begun refuses jobs until it knows that it has all records; the benchmark waited for its term only. No product code is changed.

--- a/internal/controller/request_cost_test.go
+++ b/internal/controller/request_cost_test.go
@@ -90,7 +90,7 @@
 	}
 }
 
-// startController starts the controller and waits until it leads. When the benchmark ends, the
+// startController starts the controller and waits until it leads and takes jobs. When the benchmark ends, the
 // controller is stopped and afterEnd is called.
 func (l *loopbackCluster) startController(afterEnd func()) {
 	l.tb.Helper()
@@ -115,7 +115,7 @@
 	})
 	l.addr = <-listening
 	leads := func() bool {
-		return controller.machineTypes.types() != nil && controller.leaderHandle.SeenRevision() != 0
+		return controller.machineTypes.types() != nil && controller.leaderHandle.SeenRevision() != 0 && controller.readiness.ready()
 	}
 	for deadline := time.Now().Add(20 * time.Second); !leads(); time.Sleep(10 * time.Millisecond) {
 		if time.Now().After(deadline) {
