Loader: a done job is restored as done, not as cancelled

What callers would have seen: after a change of leaders, all tasks on a machine end by its worker's lease although the worker reports. Cause: the loader marked each finished job with tasks in the assignment log as cancelled. A machine with a command in doubt and a restored start of a cancelled job gets no answer; for a done job that serves nothing. Change: done jobs are restored as complete with their record written; an index out of range still extends any finished job. Why it works: all that asks whether a job is finished gets the same answer as before, and what asks for a cancellation now gets the right one.

--- a/internal/leader/loader/loader.go
+++ b/internal/leader/loader/loader.go
@@ -247,7 +247,7 @@
 		job = l.restoreFinishedJob(task, record, now)
 	}
 	if task.Index < 0 || task.Index >= job.Spec.Tasks {
-		if !job.End.Cancelled {
+		if !job.IsFinished() {
 			slog.Error("assignment log names a task index that is out of range for its job", "job", task.Job, "task", task.Index)
 			return
 		}
@@ -270,7 +270,8 @@
 		record.Spec = &jobs.Spec{ID: task.Job, Tasks: task.Index + 1, Shape: jobs.Batch}
 	}
 	job := cluster.NewJob(task.Job, record.Spec, stored.Revision, 0, now)
-	job.End.Cancelled, job.End.RecordedState = true, record.State
+	isDone := record.State == jobs.Done
+	job.End = cluster.JobEnd{RecordedState: record.State, Cancelled: !isDone, Complete: isDone, CompletionDurable: isDone}
 	l.State.Jobs[task.Job] = job
 	return job
 }
