Leader: the goroutines that poll the list and follow the records read no token

After a loss of the token's key the event loop raises the term's token while these goroutines may read it for a debug line. Change: the two debug lines have no term any more; the time and the node tell it. Also: `Spec.Rank` leaves the list as no fault. It stores its result without synchronisation, as its comment says, and all its callers (placement, planner/capacity.go) run on the event loop. Why it works: the token is read on the event loop only.

--- a/internal/leader/jobtracker/follow.go
+++ b/internal/leader/jobtracker/follow.go
@@ -36,7 +36,7 @@
 		baseline := watch.watermark.Baseline()
 		revision, changes, err := t.readChanges(ctx, watch.seenRevision, rolledBack)
 		if err != nil {
-			slog.Debug("failed to watch job records", "term", t.Fencing.TermToken, "reason", err)
+			slog.Debug("failed to watch job records", "reason", err)
 			select {
 			case <-ctx.Done():
 			case <-time.After(t.Derived.Election.RenewInterval):
--- a/internal/leader/scaler/list.go
+++ b/internal/leader/scaler/list.go
@@ -19,7 +19,7 @@
 		askedAt := time.Now()
 		listed, requests, err := s.deps.Cloud.ListMachines(ctx)
 		if err != nil {
-			slog.Debug("failed to list machines", "term", s.host.Term(), "reason", err)
+			slog.Debug("failed to list machines", "reason", err)
 		} else {
 			s.deps.Post(ctx, func(now time.Time) { s.ApplyList(ctx, listed, askedAt, now) })
 		}
