Election: a leader knows that it is the leader

What operators saw: "leader: none known" in the status of the leader itself, from some seconds after the begin of its term. Cause: the name comes from the last observation of the holder's key, which counts for a watch and two leases. A leader observes nothing during its own term. Change: a controller that leads names itself; after its term the rule for old observations holds as before. Why it works: whether it leads is known by its lease at each moment.

--- a/internal/election/elector.go
+++ b/internal/election/elector.go
@@ -99,10 +99,14 @@
 	e.grantor.observeToken(token)
 }
 
-// Leader returns the name of the controller that was last observed to be the leader. It returns
-// the empty string if there is none, or if the last observation is too old: a controller that
-// cannot reach the store must not direct workers to a leader that may no longer lead.
+// Leader returns the name of this controller if it leads, and otherwise of the controller that was
+// last observed to be the leader. It returns the empty string if there is none, or if the last
+// observation is too old: a controller that cannot reach the store must not direct workers to a
+// leader that may no longer lead.
 func (e *Elector) Leader() string {
+	if e.IsLeader() {
+		return e.controller // which observes no holder during its own term
+	}
 	holder := e.observedHolder.Load()
 	if holder == nil || e.clock()-time.Duration(e.holderObservedAt.Load()) > e.timing.WatchTimeout+2*e.timing.LeaseDuration {
 		return ""
