Dispatch: a start in a heartbeat response is on its way until the worker's next heartbeat

Cause: an answer to a direct command can overtake the response to a heartbeat. It does not list the task whose start is in that response; if the task has been preempted meanwhile, it was taken for gone and placed elsewhere, and the worker started it as well. Change: such a start counts as on its way, as one of a direct command does, until the next heartbeat. Why it works: a worker has one heartbeat in flight, so its next one is sent after the response was carried out or dropped; no other message proves that.

--- a/internal/leader/cluster/assignment.go
+++ b/internal/leader/cluster/assignment.go
@@ -45,6 +45,7 @@
 type Start struct {
 	Sent            bool   // a start command was sent and is not known to have failed
 	RequestInFlight bool   // it was sent in a direct request that has not returned
+	InResponse      bool   // it was sent in a response to a heartbeat, and no later heartbeat has arrived
 	InDoubtToken    uint64 // fencing token of a start command that may still arrive; 0 if there is none
 }
 
--- a/internal/leader/dispatch/commands.go
+++ b/internal/leader/dispatch/commands.go
@@ -55,7 +55,7 @@
 		case reconcile.Stop:
 			commands = append(commands, d.countCommand(newStopCommand(a.TaskName(), a.WireAttempt(), decision.GraceS), decision))
 		case reconcile.Start:
-			a.Start.Sent, a.Start.RequestInFlight = true, !inHeartbeatResponse
+			a.Start.Sent, a.Start.InResponse, a.Start.RequestInFlight = true, inHeartbeatResponse, !inHeartbeatResponse
 			commands = append(commands, d.countCommand(newRunCommand(a), decision))
 		default: // the task continues, or its command has to wait
 		}
--- a/internal/leader/dispatch/delivery.go
+++ b/internal/leader/dispatch/delivery.go
@@ -11,6 +11,16 @@
 // machine is marked unreachable.
 const MaxUndeliveredResponses = 2
 
+// ResponseSettled records that the response to the previous heartbeat starts nothing any more, as the
+// next heartbeat has arrived. A worker has one heartbeat in flight: it has executed the response, or
+// dropped it. The answer to a command or a probe proves nothing of that kind, since it may overtake
+// the response.
+func (d *Dispatcher) ResponseSettled(machine *cluster.Machine) {
+	for _, a := range machine.Assignments {
+		a.Start.InResponse = false
+	}
+}
+
 // CheckDelivery detects machines whose heartbeats arrive while the responses to them are lost: the
 // next heartbeat shows that no command of the last response was executed. Without this check such
 // a machine would look healthy forever, and tasks assigned to it would never start.
--- a/internal/leader/heartbeat.go
+++ b/internal/leader/heartbeat.go
@@ -79,6 +79,7 @@
 	if machine.Phase == cluster.Booting {
 		l.scaler.MachineUp(machine, now)
 	}
+	l.dispatcher.ResponseSettled(machine)
 	l.dispatcher.CheckDelivery(machine, heartbeat)
 	l.detector.Heartbeat(machine.ID, heartbeat.Zone, seq, now)
 	if machine.Health.Dead && !l.detector.IsDead(machine.ID) {
--- a/internal/leader/tasks/manager.go
+++ b/internal/leader/tasks/manager.go
@@ -104,7 +104,7 @@
 	job := assignment.Job
 	return reconcile.Attempt{
 		AgentEpoch: assignment.AgentEpoch, Durable: assignment.Log.Durable, ObservedState: assignment.ObservedState,
-		CommandPending: assignment.Start.RequestInFlight, Sent: assignment.Start.Sent, InDoubtToken: assignment.Start.InDoubtToken,
+		CommandPending: assignment.Start.RequestInFlight || assignment.Start.InResponse, Sent: assignment.Start.Sent, InDoubtToken: assignment.Start.InDoubtToken,
 		RunsToCompletion: job.Spec.RunsToCompletion(), JobFinished: job.IsFinished(), JobCancelled: job.End.Cancelled,
 		Preempted: assignment.Stop.Requested, GraceS: assignment.Stop.GraceS,
 		GangReady: assignment.MayRun(),
--- a/internal/reconcile/attempt.go
+++ b/internal/reconcile/attempt.go
@@ -8,7 +8,7 @@
 type Attempt struct {
 	AgentEpoch       uint64 // agent epoch in which the attempt was or is to be started
 	Durable          bool   // its start is in the records
-	CommandPending   bool   // a start command sent outside a heartbeat response has had no response yet
+	CommandPending   bool   // a start command may still be on its way: its request has not returned, or its heartbeat response may not have arrived
 	Sent             bool   // a start command was sent and is not known to have failed
 	InDoubtToken     uint64 // fencing token of a start command that may still arrive; 0 if there is none
 	ObservedState    string // its state in the worker's newest message; empty if the task was not listed
