--- a/internal/kvstore/client.go
+++ b/internal/kvstore/client.go
@@ -36,8 +36,8 @@
 }
 
 // New returns a client of the store at addr, a host:port, that sends its requests through
-// transport. Each request fails after timeout, which includes its wait for the rate limits; Watch
-// adds its own wait, and only the context bounds RenewLease.
+// transport. Each request fails after timeout, which includes its wait for the rate limits; a list,
+// after timeout without progress. Watch adds its own wait, and only the context bounds RenewLease.
 func New(addr string, transport http.RoundTripper, timeout time.Duration, limits RateLimits) *Client {
 	return &Client{
 		baseURL:        "http://" + addr,
