--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -14,7 +14,8 @@
 	"limits":    {platform{types: manyTypes(120), boot: 2 * time.Second, machines: 40}, playLimits},
 	"field":     {platform{types: twoTypes, boot: 2 * time.Second, machines: 40}, playField},
 	"small":     {platform{types: twoTypes, boot: 2 * time.Second, machines: 40}, playSmall},
-	"straggler": {platform{types: twoTypes[:1], boot: time.Second, machines: 40}, playStraggler},
+	"straggler": {platform{types: twoTypes[1:], boot: time.Second, machines: 40}, playStraggler},
+	"late":      {platform{types: twoTypes[:1], boot: time.Second, machines: 40}, playLate},
 	"estimate":  {platform{types: twoTypes, boot: 2 * time.Second, machines: 40}, playEstimate},
 }
 
@@ -184,10 +185,10 @@
 		}
 	}
 	if troubled {
-		slow.setSlowness(20)
+		slow.setSlowness(4)
 		r.record.add("worker", "%s runs its tasks slower from now on", slowMachine)
 	}
-	first := batch("j-000002", 6, 1)
+	first := batch("j-000002", 30, 1.5)
 	r.truth.upload(first)
 	if status, answer := r.submit(r.nodes[1], first.body()); status != http.StatusCreated {
 		return nil, fmt.Errorf("submission answered %d %s", status, answer)
@@ -240,3 +241,49 @@
 	}
 	return false
 }
+
+// playLate: a machine cannot reach the controllers for some seconds, in which four tasks of an array
+// fetch their image and run there. The other two tasks of the array take longer than these.
+func playLate(r *rig, troubled bool) (broke []string, err error) {
+	if err := r.startAll(); err != nil {
+		return nil, err
+	}
+	job := batch("j-000002", 6, 4.2)
+	job.ImageGB, job.longS, job.longFrom, job.FlightS = 1, 25, 4, 12
+	r.truth.upload(job)
+	if status, answer := r.submit(r.nodes[1], job.body()); status != http.StatusCreated {
+		return nil, fmt.Errorf("submission answered %d %s", status, answer)
+	}
+	first := r.firstWithTasks(15 * time.Second)
+	if first == nil {
+		return nil, fmt.Errorf("no machine was sent a task")
+	}
+	if troubled {
+		first.setMute(true)
+		r.record.add("worker", "%s reaches no controller from now on; direct commands reach it", first.m.id)
+	}
+	time.Sleep(4900 * time.Millisecond)
+	first.setMute(false)
+	r.record.add("worker", "%s reaches the controllers", first.m.id)
+	r.await(90*time.Second, func() bool { _, stance := r.poll(r.nodes[2], job.ID); return stance == "done" })
+	_, done, starts := r.truth.countOf(job.ID)
+	if done < job.Talons {
+		broke = append(broke, fmt.Sprintf("%s has %d of %d tasks done 90 s after the trouble, and %d starts", job.ID, done, job.Talons, starts))
+	}
+	return broke, nil
+}
+
+// firstWithTasks returns the first worker that is sent tasks, or nil if there is none in time.
+func (r *rig) firstWithTasks(longest time.Duration) *worker {
+	for deadline := time.Now().Add(longest); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		for _, w := range r.cloud.workers() {
+			w.mu.Lock()
+			busy := len(w.tasks) > 0
+			w.mu.Unlock()
+			if busy {
+				return w
+			}
+		}
+	}
+	return nil
+}
--- a/review/rig/cases_test.go
+++ b/review/rig/cases_test.go
@@ -37,7 +37,8 @@
 }
 
 func TestReviewUnknownField(t *testing.T)     { playScript(t, "1") }
-func TestReviewLimitsToCome(t *testing.T)     { playScript(t, "2") }
-func TestReviewStraggler(t *testing.T)        { playScript(t, "3") }
+func TestReviewStraggler(t *testing.T)        { playScript(t, "2") }
+func TestReviewLimitsToCome(t *testing.T)     { playScript(t, "3") }
+func TestReviewLateReports(t *testing.T)      { playScenario(t, "late") }
 func TestReviewManySmallTasks(t *testing.T)   { playScenario(t, "small") }
 func TestReviewEstimateOfNought(t *testing.T) { playScenario(t, "estimate") }
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -5,12 +5,14 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -94,14 +96,23 @@
 	return listener.Addr().String(), nil
 }
 
+// Ports of the controllers. They lie below those that the kernel gives to outgoing connections, which
+// could otherwise take the port of a controller that is being restarted.
+const (
+	firstPort = 12_000
+	portCount = 20_000
+)
+
 // freeAddr returns a loopback address whose port is free.
-func freeAddr() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+func freeAddr() (addr string, err error) {
+	for range 100 {
+		var listener net.Listener
+		addr = fmt.Sprintf("127.0.0.1:%d", firstPort+rand.N(portCount))
+		if listener, err = net.Listen("tcp", addr); err == nil {
+			return addr, listener.Close()
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+	return "", err
 }
 
 // settings returns the settings file of a controller. next is the text of deployment.state.next, or
@@ -248,7 +259,8 @@
 	return 0, ""
 }
 
-// submission is what a user submits. runS, which is not sent, is the true run time of a task.
+// submission is what a user submits. runS, which is not sent, is the true run time of a task, and
+// longS that of the tasks from number longFrom on, if it is not 0.
 type submission struct {
 	ID        string   `json:"id"`
 	Flock     string   `json:"flock"`
@@ -271,7 +283,16 @@
 	StashS    float64  `json:"stashS"`
 	DuskS     *float64 `json:"duskS"`
 
-	runS float64
+	runS, longS float64
+	longFrom    int
+}
+
+// trueRunS returns the true run time of a task, by its name.
+func (s *submission) trueRunS(talon string) float64 {
+	if number, err := strconv.Atoi(talon[strings.Index(talon, "/")+1:]); err == nil && s.longS > 0 && number >= s.longFrom {
+		return s.longS
+	}
+	return s.runS
 }
 
 // batch returns an array of tasks of one CPU.
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -37,6 +37,7 @@
 	tasks      []*task
 	images     map[string]bool
 	slowness   float64 // factor by which tasks run longer
+	mute       bool    // it reaches no controller
 	off        bool
 	steppedAt  time.Time
 	changed    chan struct{} // capacity 1
@@ -161,6 +162,13 @@
 	w.slowness = factor
 }
 
+// setMute keeps the worker from reaching any controller, or ends that.
+func (w *worker) setMute(on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.mute = on
+}
+
 func (w *worker) noteChange() {
 	select {
 	case w.changed <- struct{}{}:
@@ -209,8 +217,11 @@
 func (w *worker) sendReport(client *http.Client, node int) (next int, pause time.Duration) {
 	w.mu.Lock()
 	w.step()
-	raw, soar, sentAt := w.report(), w.soar, time.Now()
+	raw, soar, sentAt, mute := w.report(), w.soar, time.Now(), w.mute
 	w.mu.Unlock()
+	if mute {
+		return (node + 1) % len(w.rig.nodes), nextNodePause // the connection cannot be opened
+	}
 	other := (node + 1) % len(w.rig.nodes)
 	response, err := client.Post("http://"+w.rig.nodes[node].bind+"/v1/report", "application/json", bytes.NewReader(raw))
 	if err != nil {
@@ -320,7 +331,7 @@
 	case added.Stance != "ended" && (vcpus+job.VCPUs > w.m.kind.VCPUs+1e-6 || ram+job.RAMGB > w.m.kind.RAMGB+1e-6):
 		added.Stance, added.Cause = "ended", "no_room"
 	case job != nil:
-		added.fetchLeft, added.runLeft = job.ImageGB/w.m.kind.FetchGBPerS, job.runS
+		added.fetchLeft, added.runLeft = job.ImageGB/w.m.kind.FetchGBPerS, job.trueRunS(c.Talon)
 	}
 	w.tasks = append(w.tasks, added)
 	w.noteChange()
