Settings: names of the platform's file match exactly

What operators would have seen: a setting that the controllers do not know, such as "Nodes" beside "nodes", takes the known one's place, or not, by chance at each start; of another type, it keeps a controller from starting.

Cause: BurntSushi/toml falls back to matching keys without regard to case, and goes through the keys of a table in the order of a map.

Why it works: the file is decoded into a map, and that by mapstructure into the settings with a rule for names that demands equality. Fractions for integers, which that library would cut off, are refused as before.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -4,13 +4,9 @@
 	"fmt"
 	"slices"
 	"time"
-
-	"github.com/BurntSushi/toml"
 )
 
 // Settings holds the contents of the platform's settings file and the operators' settings.
-// Unknown fields in the platform's file are ignored, so that the platform can add fields without
-// a new release of this program.
 type Settings struct {
 	ControllerName string     `toml:"node_name"`      // this controller's name
 	Zone           string     `toml:"location"`       // zone in which it runs
@@ -19,7 +15,7 @@
 	Peers          []Peer     `toml:"peers"`
 	Endpoints      Endpoints  `toml:"endpoints"`
 	Deployment     Deployment `toml:"deployment"`
-	Operator       Operator   `toml:"-"`
+	Operator       Operator   // from the operators' own file
 }
 
 // Peer is another controller.
@@ -151,7 +147,7 @@
 	if loaded.Operator, err = LoadOperator(operatorPath); err != nil {
 		return nil, err
 	}
-	if _, err := toml.DecodeFile(path, &loaded); err != nil {
+	if err := decodeFile(path, &loaded); err != nil {
 		return nil, fmt.Errorf("settings %s: %w", path, err)
 	}
 	if err := loaded.check(); err != nil {
