--- a/internal/snapshot/file_test.go
+++ b/internal/snapshot/file_test.go
@@ -12,9 +12,11 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/parquet-go/parquet-go"
 
 	"ospreyslip/internal/jobs"
 	"ospreyslip/internal/kvstore"
+	"ospreyslip/internal/wirejson/wirejsontest"
 )
 
 func exampleSnapshot(records int) *Snapshot {
@@ -57,6 +59,44 @@
 	}
 }
 
+// TestUnknownFieldsInFile guards against unknown columns of a file, and unknown fields of its manifest, that take
+// the place of known ones because their names are alike.
+func TestUnknownFieldsInFile(t *testing.T) {
+	type extendedRecord struct {
+		UpperKey   string `parquet:"KEY"`
+		UpperValue []byte `parquet:"Value"`
+		Record
+		UpperState string `parquet:"STATE"`
+	}
+	want := exampleSnapshot(20)
+	manifest, err := json.Marshal(want.Manifest)
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "extended.parquet")
+	file, err := os.Create(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	withUnknown := wirejsontest.AddUnknownFields(manifest, "jobs")
+	writer := parquet.NewGenericWriter[extendedRecord](file, parquet.KeyValueMetadata(manifestKey, string(withUnknown)))
+	for _, record := range want.Records {
+		if _, err := writer.Write([]extendedRecord{{"job/j-900001", []byte("{}"), record, jobs.Done}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := errors.Join(writer.Close(), file.Close()); err != nil {
+		t.Fatal(err)
+	}
+	got, err := ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // A file that is truncated, altered, not a snapshot or from a later version is rejected, wherever
 // the damage is.
 func TestReadFileRejectsInvalidFiles(t *testing.T) {
