Users' API: what did not arrive whole gets 408, never an implicit 200

Callers saw: a submission whose body came late, or never, was answered 200 without a body, which says accepted; nothing was stored. On a connection that had been idle for 3 s, half of the body's time was gone.

Cause: a failed read of the body returned no response, for which net/http sends 200. ReadTimeout begins when a connection is accepted. Operators' bodies had no time limit at all; a heartbeat that was cut off was answered 400.

Why it works: handlers of users' requests always return a response. httpbody tells a body that is wrong (400) from one that did not arrive (408, repeated by users and workers; not 400, which would forget a job that was accepted before).

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -12,7 +11,6 @@
 	"sync"
 	"time"
 
-	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
 	"ospreyslip/internal/cloud"
@@ -150,32 +148,6 @@
 	return group.Wait()
 }
 
-// serveUsers starts goroutines in the group that serve users and workers until the context ends.
-func (c *Controller) serveUsers(ctx context.Context, group *errgroup.Group, listener net.Listener) {
-	limiter := newConnLimiter(c.derived.Host.ServedConns)
-	server := &http.Server{
-		Handler:           c.Handler(),
-		ConnState:         limiter.connStateChanged,
-		ReadHeaderTimeout: c.derived.API.RequestTimeout * 2,
-		ReadTimeout:       c.derived.API.RequestTimeout * 4,
-		IdleTimeout:       c.derived.Host.IdleTimeout,
-		ErrorLog:          slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
-	}
-	group.Go(func() error {
-		err := server.Serve(netutil.LimitListener(openConnListener{yieldingListener{listener}}, c.derived.Host.ServedConns))
-		if errors.Is(err, http.ErrServerClosed) {
-			return nil
-		}
-		return err
-	})
-	group.Go(func() error {
-		<-ctx.Done()
-		shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.derived.API.RequestTimeout)
-		defer cancel()
-		return server.Shutdown(shutdownCtx)
-	})
-}
-
 // Handler returns the HTTP handler for users and workers.
 func (c *Controller) Handler() http.Handler {
 	mux := http.NewServeMux()
--- a/internal/controller/operator_listener.go
+++ b/internal/controller/operator_listener.go
@@ -9,6 +9,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"ospreyslip/internal/httpbody"
 )
 
 // connQueue is a net.Listener for connections that another listener has accepted.
@@ -49,7 +51,11 @@
 
 // serveOperators serves connections from operators until the context ends.
 func (c *Controller) serveOperators(ctx context.Context) {
-	server := &http.Server{Handler: c.operatorHandler(), ReadHeaderTimeout: c.derived.API.RequestTimeout, IdleTimeout: time.Minute}
+	server := &http.Server{
+		Handler:           httpbody.WithDeadline(c.operatorHandler(), c.bodyTimeout()),
+		ReadHeaderTimeout: c.derived.API.RequestTimeout,
+		IdleTimeout:       time.Minute,
+	}
 	stop := context.AfterFunc(ctx, func() { server.Close() })
 	defer stop()
 	_ = server.Serve(c.listen.operators) // returns only after server.Close
--- a/internal/controller/recovery_handlers.go
+++ b/internal/controller/recovery_handlers.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net/http"
 
+	"ospreyslip/internal/httpbody"
 	"ospreyslip/internal/jobs"
 	"ospreyslip/internal/leader"
 	"ospreyslip/internal/leader/recoverer"
@@ -97,8 +98,8 @@
 
 // readJSON decodes a request body. If that fails, it writes an error response and returns false.
 func readJSON(w http.ResponseWriter, r *http.Request, target any) bool {
-	if err := wirejson.UnmarshalFirst(http.MaxBytesReader(w, r.Body, maxRequestBytes), target); err != nil {
-		writeError(w, http.StatusBadRequest, err)
+	if err := wirejson.UnmarshalFirst(httpbody.Reader(w, r, maxRequestBytes), target); err != nil {
+		writeError(w, httpbody.RejectionStatus(err), err)
 		return false
 	}
 	return true
--- a/internal/jobs/jobapi/api.go
+++ b/internal/jobs/jobapi/api.go
@@ -40,16 +40,17 @@
 // once: queueing in front of a slow key-value store would only make users repeat their requests.
 func (a *API) Register(mux *http.ServeMux) {
 	a.slots = make(chan struct{}, a.Derived.API.MaxConcurrentRequests)
-	mux.HandleFunc("POST /v1/jobs", a.withSlot(a.submitJob))
-	mux.HandleFunc("GET /v1/jobs/{id}", a.withSlot(a.showJob))
-	mux.HandleFunc("POST /v1/jobs/{id}/withdraw", a.withSlot(a.cancelJob))
+	mux.HandleFunc("POST /v1/jobs", a.withSlot(a.receiveSubmission))
+	mux.HandleFunc("GET /v1/jobs/{id}", a.withSlot(a.withJobID(a.showJob)))
+	mux.HandleFunc("POST /v1/jobs/{id}/withdraw", a.withSlot(a.withJobID(a.cancelJob)))
 	mux.HandleFunc("GET /up", a.showReadiness)
 }
 
-// handler serves a request. It uses the writer only to limit the size of the request's body.
-type handler func(context.Context, http.ResponseWriter, *http.Request) *response
+// handler serves a request and returns the response, which must not be nil. It uses the writer only to
+// limit the size of the request's body.
+type handler func(http.ResponseWriter, *http.Request) *response
 
-// withSlot wraps a handler with a slot and a deadline, and writes its response.
+// withSlot wraps a handler with a slot, and writes its response.
 func (a *API) withSlot(next handler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		select {
@@ -59,11 +60,25 @@
 			a.writeResponse(w, unavailableResponse(tooManyRequestsText))
 			return
 		}
-		ctx, cancel := context.WithTimeout(r.Context(), a.Derived.API.RequestTimeout)
-		defer cancel()
-		if resp := next(ctx, w, r); resp != nil {
-			a.writeResponse(w, resp)
+		a.writeResponse(w, next(w, r))
+	}
+}
+
+// withTimeout returns a context for the work on a request that has arrived whole.
+func (a *API) withTimeout(r *http.Request) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(r.Context(), a.Derived.API.RequestTimeout)
+}
+
+// withJobID returns a handler of requests that have a job ID in their path, and no body.
+func (a *API) withJobID(next func(ctx context.Context, id string) *response) handler {
+	return func(_ http.ResponseWriter, r *http.Request) *response {
+		id := r.PathValue("id")
+		if !jobs.ValidID(id) {
+			return notFoundResponse()
 		}
+		ctx, cancel := a.withTimeout(r)
+		defer cancel()
+		return next(ctx, id)
 	}
 }
 
--- a/internal/jobs/jobapi/response.go
+++ b/internal/jobs/jobapi/response.go
@@ -9,8 +9,7 @@
 	"ospreyslip/internal/httpreply"
 )
 
-// response is the status and body sent for a request. A nil *response means that the client has
-// disconnected.
+// response is the status and body sent for a request.
 type response struct {
 	status     int
 	body       any
--- a/internal/jobs/jobapi/show.go
+++ b/internal/jobs/jobapi/show.go
@@ -10,11 +10,7 @@
 )
 
 // showJob responds to a poll from the cache.
-func (a *API) showJob(ctx context.Context, _ http.ResponseWriter, r *http.Request) *response {
-	id := r.PathValue("id")
-	if !jobs.ValidID(id) {
-		return notFoundResponse()
-	}
+func (a *API) showJob(ctx context.Context, id string) *response {
 	rec, known, err := a.Cache.Get(ctx, id)
 	switch {
 	case errors.Is(err, jobcache.ErrRecordsMayBeMissing):
--- a/internal/jobs/jobapi/submit.go
+++ b/internal/jobs/jobapi/submit.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"ospreyslip/internal/httpbody"
 	"ospreyslip/internal/jobs"
 	"ospreyslip/internal/kvstore"
 )
@@ -16,13 +17,20 @@
 // maxBodyBytes is the maximum size of a submission in bytes.
 const maxBodyBytes = 64 << 10
 
-// submitJob accepts a job. Submissions are idempotent: if the job is already known, the response
-// is its state, even if a new job with the same description would be rejected.
-func (a *API) submitJob(ctx context.Context, w http.ResponseWriter, r *http.Request) *response {
+// receiveSubmission reads a submission and handles it. The time for handling it begins when it has arrived.
+func (a *API) receiveSubmission(w http.ResponseWriter, r *http.Request) *response {
 	spec, refusal := readSpec(w, r)
-	if spec == nil {
+	if refusal != nil {
 		return refusal
 	}
+	ctx, cancel := a.withTimeout(r)
+	defer cancel()
+	return a.submitJob(ctx, spec)
+}
+
+// submitJob accepts a job. Submissions are idempotent: if the job is already known, the response
+// is its state, even if a new job with the same description would be rejected.
+func (a *API) submitJob(ctx context.Context, spec *jobs.Spec) *response {
 	types := a.Catalog()
 	if types == nil {
 		return unavailableResponse(noMachineTypesText)
@@ -37,18 +45,18 @@
 	return a.retry(ctx, func() (*response, error) { return a.createRecord(ctx, spec, value) })
 }
 
-// readSpec reads and parses a submission. If it returns no spec, the second result is the
-// response to the request, or nil if the client has disconnected.
-func readSpec(w http.ResponseWriter, r *http.Request) (*jobs.Spec, *response) {
-	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+// readSpec reads and parses a submission. If refusal is not nil, it is the response to the request.
+func readSpec(w http.ResponseWriter, r *http.Request) (spec *jobs.Spec, refusal *response) {
+	raw, err := io.ReadAll(httpbody.Reader(w, r, maxBodyBytes))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, rejectionResponse(http.StatusBadRequest, "body over 64 KiB")
 	case err != nil:
-		return nil, nil // the client has disconnected
+		// The job may have been accepted before, so the user must repeat the request.
+		return nil, rejectionResponse(httpbody.RejectionStatus(err), httpbody.ErrIncomplete.Error())
 	}
-	spec, err := jobs.ParseSpec(raw)
+	spec, err = jobs.ParseSpec(raw)
 	if err != nil {
 		return nil, rejectionResponse(http.StatusBadRequest, err.Error())
 	}
--- a/internal/jobs/jobapi/withdraw.go
+++ b/internal/jobs/jobapi/withdraw.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"net/http"
 
 	"ospreyslip/internal/jobs"
 	"ospreyslip/internal/kvstore"
@@ -11,11 +10,7 @@
 
 // cancelJob cancels a job. A job that is already finished is not changed; the response is its
 // state.
-func (a *API) cancelJob(ctx context.Context, _ http.ResponseWriter, r *http.Request) *response {
-	id := r.PathValue("id")
-	if !jobs.ValidID(id) {
-		return notFoundResponse()
-	}
+func (a *API) cancelJob(ctx context.Context, id string) *response {
 	return a.retry(ctx, func() (*response, error) { return a.writeCancelledRecord(ctx, id) })
 }
 
--- a/internal/workers/handler.go
+++ b/internal/workers/handler.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-json-experiment/json"
 
+	"ospreyslip/internal/httpbody"
 	"ospreyslip/internal/httpreply"
 	"ospreyslip/internal/wirejson"
 )
@@ -29,12 +30,12 @@
 }
 
 // serveHeartbeat responds with status 200 and commands, 421 and the leader's name, 503 if no leader is
-// known, or 400 to a malformed heartbeat.
+// known, 408 to a heartbeat that does not arrive whole, or 400 to a malformed one.
 func (h *Handler) serveHeartbeat(w http.ResponseWriter, r *http.Request) {
 	var heartbeat Heartbeat
-	body := http.MaxBytesReader(w, r.Body, maxHeartbeatBytes)
+	body := httpbody.Reader(w, r, maxHeartbeatBytes)
 	if err := wirejson.UnmarshalRead(body, &heartbeat); err != nil || heartbeat.Machine == "" {
-		w.WriteHeader(http.StatusBadRequest)
+		w.WriteHeader(httpbody.RejectionStatus(err))
 		return
 	}
 	if response := h.HandleHeartbeat(r.Context(), &heartbeat); response != nil {
