--- a/internal/controller/incomplete_request_test.go
+++ b/internal/controller/incomplete_request_test.go
@@ -35,6 +35,7 @@
 		if err != nil {
 			return
 		}
+		defer response.Body.Close()
 		raw, _ := io.ReadAll(response.Body)
 		status, body = response.StatusCode, string(raw)
 	}()
