Stragglers: run times that were not observed do not count, and a task is stopped once

Callers saw: the rest of an array was stopped every eight seconds or so, and machine after machine was rented for it, until the leader changed.

Cause: the first sight of a running task, also after a silence of its worker, was taken for its beginning, so that tasks seemed to run for a second; and nothing bounded how often a task was stopped for slowness, so that an array with tasks of very different lengths was never done even without any trouble.

Why it works: a run time is recorded only if the worker was heard from within two heartbeat intervals before the task was first seen running and before it was seen done. Each task is stopped for slowness once in a term, and then is no evidence against a machine. The tests of the estimator say now when a worker was last heard from, and that beginnings are known; what they expect is unchanged.

--- a/internal/emulator/tasks.go
+++ b/internal/emulator/tasks.go
@@ -88,6 +88,14 @@
 	return true
 }
 
+// runTimeS returns the run time of a task of a batch job in seconds.
+func (w *World) runTimeS(job *jobs.Spec, task int) float64 {
+	if w.RunTimeOf == nil {
+		return job.EstimatedRuntimeS
+	}
+	return w.RunTimeOf(job, task)
+}
+
 func (w *World) isTaskDone(id string, n int) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/emulator/worker_tasks.go
+++ b/internal/emulator/worker_tasks.go
@@ -33,7 +33,7 @@
 		if job != nil && job.Shape == jobs.Gang && (t.State == workers.StateGathering || t.State == workers.StateRunning) {
 			w.advanceGangTask(t)
 		}
-		if t.State == workers.StateRunning && job.Shape == jobs.Batch && (w.world.isTaskDone(jobID, number) || now.Sub(t.stateSince).Seconds() >= job.EstimatedRuntimeS*max(1, w.slowness)) {
+		if t.State == workers.StateRunning && job.Shape == jobs.Batch && (w.world.isTaskDone(jobID, number) || now.Sub(t.stateSince).Seconds() >= w.world.runTimeS(job, number)*max(1, w.slowness)) {
 			w.endTask(t, workers.CauseDone)
 		}
 		if t.State == workers.StateSaving && !now.Before(t.savedAt) {
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -37,6 +37,10 @@
 	// nil.
 	JobCompleted func(id string)
 
+	// RunTimeOf returns the run time of a task of a batch job in seconds. If it is nil, it is the estimate of
+	// the job's owner.
+	RunTimeOf func(job *jobs.Spec, task int) float64
+
 	ctx        context.Context // machines stop when it ends
 	goroutines sync.WaitGroup  // goroutines of machines and of cancellation deadlines
 
--- a/internal/leader/cluster/assignment.go
+++ b/internal/leader/cluster/assignment.go
@@ -32,6 +32,7 @@
 	ObservedState string    // of the task in the worker's newest message; empty if not listed
 	CreatedAt     time.Time // when this leader created or restored the assignment
 	RunningSince  time.Time // when the task was first seen running; before that, CreatedAt
+	RunStartKnown bool      // the task began to run shortly before RunningSince
 	Starved       bool      // placed ahead of other jobs because the job was starved
 
 	Start Start
--- a/internal/leader/cluster/job.go
+++ b/internal/leader/cluster/job.go
@@ -30,6 +30,8 @@
 	PublishedCounts jobs.TaskCounts
 	// RunTimeLogs holds run times of completed tasks as logarithms of seconds, ascending.
 	RunTimeLogs []float64
+	// stoppedAsSlow holds the tasks that were stopped because their machine appeared to be slow.
+	stoppedAsSlow map[int]bool
 }
 
 // JobEnd is the state of a job's end.
--- a/internal/leader/cluster/machine.go
+++ b/internal/leader/cluster/machine.go
@@ -47,11 +47,31 @@
 	Seq             uint64                // of the newest message: a heartbeat or a response to a request
 	Token           uint64                // the highest fencing token that the worker has seen
 	Tasks           []workers.TaskStatus  // of the newest message
+	ObservedAt      time.Time             // when the newest message arrived; zero if none has arrived in this term
+	UnobservedFor   time.Duration         // from the message before the newest one to that; noEarlierMessage if there was none
 	NewestHeartbeat liveness.HeartbeatSeq // responses to commands and probes are not counted
 	HeartbeatAt     time.Time             // when the last heartbeat arrived; zero if none has arrived in this term
 	LeaseUntil      time.Time             // a worker silent until then has ended its tasks
 }
 
+// noEarlierMessage is the value of WorkerState.UnobservedFor after the first message of a term.
+const noEarlierMessage time.Duration = -1
+
+// RecordMessage records that a message has arrived.
+func (w *WorkerState) RecordMessage(now time.Time) {
+	w.UnobservedFor = now.Sub(w.ObservedAt)
+	if w.ObservedAt.IsZero() {
+		w.UnobservedFor = noEarlierMessage
+	}
+	w.ObservedAt = now
+}
+
+// ChangesAreRecent reports whether what the newest message shows for the first time happened within the given
+// time before it.
+func (w *WorkerState) ChangesAreRecent(within time.Duration) bool {
+	return w.UnobservedFor != noEarlierMessage && w.UnobservedFor <= within
+}
+
 // CommandState is the state of the delivery of commands to the machine's worker.
 type CommandState struct {
 	NotifyPending        bool // a command request is to be sent at once
--- a/internal/leader/cluster/run_times.go
+++ b/internal/leader/cluster/run_times.go
@@ -17,6 +17,24 @@
 	}
 }
 
+// RecordSlowStop records that a task is stopped because its machine appears to be slow.
+func (j *Job) RecordSlowStop(task int) {
+	if j.stoppedAsSlow == nil {
+		j.stoppedAsSlow = map[int]bool{}
+	}
+	j.stoppedAsSlow[task] = true
+}
+
+// MayStopAsSlow reports whether a task may be stopped because its machine appears to be slow. Each task is
+// stopped for that only once in a term, and so is a gang as a whole: a task that takes long again does so by
+// itself, and would otherwise never end.
+func (j *Job) MayStopAsSlow(task int) bool {
+	if j.IsGang() {
+		return len(j.stoppedAsSlow) == 0
+	}
+	return !j.stoppedAsSlow[task]
+}
+
 // MedianRunTime returns the median run time of all tasks that have started, as the logarithm of
 // seconds. It is not known before half of them are done: fast tasks complete first, so a median of
 // these alone would make all other tasks look slow.
--- a/internal/leader/runtimes/estimator.go
+++ b/internal/leader/runtimes/estimator.go
@@ -66,16 +66,17 @@
 	return e.RunTimeS(job.Spec)
 }
 
-// TaskCompleted records a completed task. A task whose start was not observed is ignored.
+// TaskCompleted records a completed task. A task whose start was not observed is ignored. A task that has been
+// stopped for being slow says nothing about its machine: it takes long by itself.
 func (e *Estimator) TaskCompleted(assignment *cluster.Assignment, now time.Time) {
 	job, seconds := assignment.Job, now.Sub(assignment.RunningSince).Seconds()
-	startUnobserved := assignment.RunningSince.Equal(assignment.CreatedAt) || assignment.Restored && job.IsGang()
+	startUnobserved := !assignment.RunStartKnown || assignment.Restored && job.IsGang()
 	if startUnobserved || job.Spec.EstimatedRuntimeS <= 0 || seconds <= 0 {
 		return
 	}
 	distribution, logSeconds := e.ForClass(job.Spec.Class), math.Log(seconds)
 	// The run time of a gang is that of its slowest task and says little about one machine.
-	if median, known := job.MedianRunTime(); known && !job.IsGang() {
+	if median, known := job.MedianRunTime(); known && !job.IsGang() && job.MayStopAsSlow(assignment.Index) {
 		health := &assignment.Machine.Health
 		logOdds := health.SlowLogOdds + distribution.completedLogOdds(logSeconds-median)
 		health.SlowLogOdds = max(logOdds, -float64(len(assignment.Machine.Assignments)))
--- a/internal/leader/runtimes/straggler.go
+++ b/internal/leader/runtimes/straggler.go
@@ -21,22 +21,23 @@
 
 // IsStraggler reports whether a machine runs tasks much slower than others, and returns the odds
 // that it does.
-func (e *Estimator) IsStraggler(machine *cluster.Machine, now time.Time) (slow bool, odds float64) {
-	logOdds := e.StragglerLogOdds(machine, now)
+func (e *Estimator) IsStraggler(machine *cluster.Machine) (slow bool, odds float64) {
+	logOdds := e.StragglerLogOdds(machine)
 	return logOdds >= math.Log(stragglerOdds), math.Exp(logOdds)
 }
 
 // StragglerLogOdds returns the log odds that a machine is slow, given the tasks that have completed
 // on it and those that are running.
-func (e *Estimator) StragglerLogOdds(machine *cluster.Machine, now time.Time) float64 {
+func (e *Estimator) StragglerLogOdds(machine *cluster.Machine) float64 {
 	logOdds := machine.Health.SlowLogOdds
 	for _, a := range machine.Assignments {
-		if a.Outcome != cluster.Open || a.ObservedState != workers.StateRunning || a.Job.Spec.Shape != jobs.Batch {
+		if a.Outcome != cluster.Open || a.ObservedState != workers.StateRunning || a.Job.Spec.Shape != jobs.Batch || !a.Job.MayStopAsSlow(a.Index) {
 			continue
 		}
-		// A task that an earlier leader started has run for longer than this leader has observed.
+		// A task that began before its start was observed has run for longer. One on a machine that is silent may
+		// have ended since the newest message.
 		if median, known := a.Job.MedianRunTime(); known {
-			ran := max(now.Sub(a.RunningSince).Seconds(), minRunTimeS)
+			ran := max(machine.Worker.ObservedAt.Sub(a.RunningSince).Seconds(), minRunTimeS)
 			logOdds += e.ForClass(a.Job.Spec.Class).runningLogOdds(math.Log(ran) - median)
 		}
 	}
--- a/internal/leader/runtimes/straggler_test.go
+++ b/internal/leader/runtimes/straggler_test.go
@@ -30,6 +30,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 			estimator, machine := NewEstimator(), cluster.NewMachine("m-1", now)
+			machine.Worker.ObservedAt = now
 			*estimator.ForClass("sums") = Distribution{Variance: 0.25, Tasks: 100, Jobs: 100}
 			spec := &jobs.Spec{ID: "j-2", Class: "sums", Shape: jobs.Batch, Tasks: 50, CPUs: 1, EstimatedRuntimeS: 10}
 			job := cluster.NewJob("j-2", spec, 1, 0, now)
@@ -41,7 +42,7 @@
 				attempt++
 				a := &cluster.Assignment{
 					Job: job, Index: job.TakePendingTask(), Attempt: attempt, Machine: machine, CreatedAt: now,
-					ObservedState: workers.StateRunning, RunningSince: now.Add(-time.Duration(ran * 10 * float64(time.Second))),
+					ObservedState: workers.StateRunning, RunningSince: now.Add(-time.Duration(ran * 10 * float64(time.Second))), RunStartKnown: true,
 				}
 				job.Assignments[a.Index], machine.Assignments[attempt] = a, a
 				return a
@@ -59,8 +60,8 @@
 				start(9)
 				start(9)
 			}
-			if slow, _ := estimator.IsStraggler(machine, now); slow != tc.slow {
-				t.Errorf("slow: %v, log odds %.1f", slow, estimator.StragglerLogOdds(machine, now))
+			if slow, _ := estimator.IsStraggler(machine); slow != tc.slow {
+				t.Errorf("slow: %v, log odds %.1f", slow, estimator.StragglerLogOdds(machine))
 			}
 		})
 	}
--- a/internal/leader/tasks/drain.go
+++ b/internal/leader/tasks/drain.go
@@ -58,11 +58,11 @@
 }
 
 // DrainStraggler reports whether the machine is a straggler: one that runs tasks much more slowly
-// than others. It stops the machine's batch and gang tasks that would complete sooner elsewhere,
-// and drains the machine unless it runs services.
+// than others. It stops the machine's batch and gang tasks that would complete sooner elsewhere, each at most
+// once, and drains the machine unless it runs services.
 func (m *Manager) DrainStraggler(machine *cluster.Machine, now time.Time) bool {
 	if !machine.Offer.Straggler {
-		slow, odds := m.RunTimes.IsStraggler(machine, now)
+		slow, odds := m.RunTimes.IsStraggler(machine)
 		if !slow {
 			return false
 		}
@@ -75,7 +75,8 @@
 			runsServices = true
 			continue
 		}
-		if a.Outcome == cluster.Open && !a.Stop.Requested && m.RunTimes.FinishesSoonerElsewhere(a, now) {
+		if a.Outcome == cluster.Open && !a.Stop.Requested && a.Job.MayStopAsSlow(a.Index) && m.RunTimes.FinishesSoonerElsewhere(a, now) {
+			a.Job.RecordSlowStop(a.Index)
 			m.Stop(a, a.Job.Spec.CheckpointSaveS)
 			m.Planner.PlanRequested = true
 		}
--- a/internal/leader/tasks/observe.go
+++ b/internal/leader/tasks/observe.go
@@ -27,6 +27,7 @@
 		m.Planner.PlanRequested = true
 	}
 	worker.AgentEpoch, worker.Seq = heartbeat.AgentEpoch, heartbeat.Seq
+	worker.RecordMessage(now)
 	worker.Token, worker.Tasks = heartbeat.FencingToken, heartbeat.Tasks
 	machine.Addr, machine.Type, machine.Zone, machine.Spot = heartbeat.Addr, heartbeat.Type, heartbeat.Zone, heartbeat.Spot
 	if heartbeat.SpotNoticeS != nil {
@@ -96,6 +97,7 @@
 	case workers.StateRunning:
 		if assignment.ObservedState == workers.StateFetching || assignment.ObservedState == workers.StateGathering || !assignment.Restored {
 			assignment.RunningSince = now
+			assignment.RunStartKnown = m.changesAreRecent(assignment.Machine)
 		}
 		assignment.Machine.CacheImage(assignment.Job.Spec, m.imageCacheGB(assignment.Machine))
 	case workers.StateGathering:
@@ -105,6 +107,16 @@
 	m.Host.CountsChanged(assignment.Job)
 }
 
+// maxUnobservedHeartbeats is the time between two messages of a worker, in heartbeat intervals, up to which a change
+// between them counts as having happened when the second arrives.
+const maxUnobservedHeartbeats = 2
+
+// changesAreRecent reports whether what the machine's newest message shows for the first time has just happened. After
+// a silence it may have happened at any time, and run times that begin or end there are not known.
+func (m *Manager) changesAreRecent(machine *cluster.Machine) bool {
+	return machine.Worker.ChangesAreRecent(maxUnobservedHeartbeats * m.Derived.Workers.HeartbeatInterval)
+}
+
 // imageCacheGB returns the capacity of the machine's image cache, or 0 if it is not known.
 func (m *Manager) imageCacheGB(machine *cluster.Machine) float64 {
 	if machineType := m.Catalog.Type(machine.Type); machineType != nil {
@@ -118,6 +130,8 @@
 func (m *Manager) taskCompleted(assignment *cluster.Assignment, now time.Time) {
 	assignment.Job.Scheduling.ConsecutiveFailures, assignment.Job.Scheduling.LastServedAt = 0, now
 	clear(assignment.Machine.Health.FailedJobs)
-	m.RunTimes.TaskCompleted(assignment, now)
+	if m.changesAreRecent(assignment.Machine) {
+		m.RunTimes.TaskCompleted(assignment, now)
+	}
 	m.End(assignment, cluster.Success)
 }
--- a/internal/leader/tick_test.go
+++ b/internal/leader/tick_test.go
@@ -33,7 +33,7 @@
 		}
 		l.drainStragglers(now)
 		if m.Offer.Straggler != slow {
-			t.Errorf("straggler: %v, log odds %.1f", m.Offer.Straggler, l.runTimes.StragglerLogOdds(m, now))
+			t.Errorf("straggler: %v, log odds %.1f", m.Offer.Straggler, l.runTimes.StragglerLogOdds(m))
 		}
 	}
 }
