Machines: the room in a worker's reports is a resource, and large reports are accepted

Callers saw: an array of 1,200 small tasks is never done, and what runs beside it on the same machine is killed at each end of a lease.

Cause: a report lists all tasks of a machine; that of 1,200 exceeds 64 KiB and was answered 400 by every controller. Nothing bounded tasks or commands by the size of messages.

Evidence: the emulator checks the size of reports, responses and direct commands now.

Why it works: Resources has a fourth amount, which placement, preemption, forecast and scale-out treat as the others; it follows from the encoded sizes of messages. Tasks that are listed without an assignment take from it. Commands are cut into messages. Reports of up to 1 MiB are accepted, logged and shown by a metric that names the machine.

--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -26,6 +26,7 @@
 	fullDisruptionDesc   = newDesc("disrupted", "1 while every zone looks dead.")
 	writeQueueDesc       = newDesc("write_queue", "Records that wait to be written.")
 	machinesDesc         = newDesc("machines", "Machines by state.", "state")
+	oversizedDesc        = newDesc("oversized_report_bytes", "Size of a worker's report that is larger than the protocol allows.", "machine")
 	tasksWaitingDesc     = newDesc("tasks_waiting", "Tasks without a machine.", "class")
 	tasksPlacedDesc      = newDesc("tasks_placed", "Tasks that are, or may be, on a machine.", "class")
 	lostJobsDesc         = newDesc("recovery_lost_jobs", "Jobs of which more is known than their records say.")
@@ -92,6 +93,9 @@
 	machinesByState := map[string]float64{}
 	for _, machine := range status.Machines {
 		machinesByState[machine.State]++
+		if machine.OversizedBytes > 0 {
+			gauge(oversizedDesc, float64(machine.OversizedBytes), machine.ID)
+		}
 	}
 	for state, count := range machinesByState {
 		gauge(machinesDesc, count, state)
--- a/internal/controller/recovery_handlers.go
+++ b/internal/controller/recovery_handlers.go
@@ -98,7 +98,7 @@
 
 // readJSON decodes a request body. If that fails, it writes an error response and returns false.
 func readJSON(w http.ResponseWriter, r *http.Request, target any) bool {
-	if err := wirejson.UnmarshalFirst(httpbody.Reader(w, r, maxRequestBytes), target); err != nil {
+	if err := wirejson.UnmarshalFirst(httpbody.NewReader(w, r, maxRequestBytes), target); err != nil {
 		writeError(w, httpbody.RejectionStatus(err), err)
 		return false
 	}
--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -102,6 +102,7 @@
 	w.mu.Unlock()
 	sentAt, nextController := time.Now(), (controller+1)%len(w.config.Controllers)
 	raw, _ := json.Marshal(heartbeat)
+	w.checkSize("report", len(raw))
 	url := "http://" + w.config.ControllerAddrs[w.config.Controllers[controller]] + "/v1/report"
 	resp, err := client.Post(url, "application/json", bytes.NewReader(raw))
 	if err != nil {
@@ -109,6 +110,7 @@
 	}
 	defer resp.Body.Close()
 	body, _ := io.ReadAll(resp.Body)
+	w.checkSize("response to a report", len(body))
 	switch resp.StatusCode {
 	case http.StatusOK:
 		var response workers.HeartbeatResponse
@@ -128,6 +130,16 @@
 	return nextController
 }
 
+// checkSize records a violation if a message is larger than the protocol allows.
+func (w *Worker) checkSize(message string, bytes int) {
+	if bytes <= workers.MaxMessageBytes {
+		return
+	}
+	w.world.mu.Lock()
+	defer w.world.mu.Unlock()
+	w.world.traceLog.recordViolation("message too large: %s of %s has %d bytes", message, w.status.Machine, bytes)
+}
+
 // applyResponse renews the lease and executes the commands in a response. It ignores responses to
 // heartbeats of an earlier agent epoch and those with an outdated or missing fencing token.
 func (w *Worker) applyResponse(response workers.HeartbeatResponse, epoch uint64, sentAt time.Time) {
@@ -207,7 +219,9 @@
 	status := http.StatusOK
 	if r.URL.Path == "/orders" {
 		var request workers.CommandRequest
-		_ = wirejson.UnmarshalFirst(r.Body, &request)
+		raw, _ := io.ReadAll(r.Body)
+		w.checkSize("direct command", len(raw))
+		_ = wirejson.Unmarshal(raw, &request)
 		if request.FencingToken < w.status.FencingToken || request.AgentEpoch != w.status.AgentEpoch {
 			status = http.StatusConflict
 		} else {
--- a/internal/httpbody/httpbody.go
+++ b/internal/httpbody/httpbody.go
@@ -14,17 +14,25 @@
 // in time. Nothing follows from it about the request, which the client may repeat.
 var ErrIncomplete = errors.New("the request did not arrive whole")
 
-// Reader returns a reader of a request's body. It fails with an [*http.MaxBytesError] if the body has more than
-// maxBytes, and with ErrIncomplete if the body does not arrive whole.
-func Reader(w http.ResponseWriter, r *http.Request, maxBytes int64) io.Reader {
-	return &reader{http.MaxBytesReader(w, r.Body, maxBytes)}
+// Reader reads a request's body. It fails with an [*http.MaxBytesError] if the body has more bytes than its limit,
+// and with ErrIncomplete if the body does not arrive whole.
+type Reader struct {
+	body io.Reader
+	read int
 }
 
-type reader struct{ body io.Reader }
+// NewReader returns a reader of the body of a request, of at most maxBytes.
+func NewReader(w http.ResponseWriter, r *http.Request, maxBytes int64) *Reader {
+	return &Reader{body: http.MaxBytesReader(w, r.Body, maxBytes)}
+}
+
+// BytesRead returns the number of bytes read so far.
+func (r *Reader) BytesRead() int { return r.read }
 
 // Read implements [io.Reader].
-func (r *reader) Read(buffer []byte) (int, error) {
+func (r *Reader) Read(buffer []byte) (int, error) {
 	n, err := r.body.Read(buffer)
+	r.read += n
 	var tooLarge *http.MaxBytesError
 	if err == nil || err == io.EOF || errors.As(err, &tooLarge) {
 		return n, err
--- a/internal/jobs/jobapi/submit.go
+++ b/internal/jobs/jobapi/submit.go
@@ -47,7 +47,7 @@
 
 // readSpec reads and parses a submission. If refusal is not nil, it is the response to the request.
 func readSpec(w http.ResponseWriter, r *http.Request) (spec *jobs.Spec, refusal *response) {
-	raw, err := io.ReadAll(httpbody.Reader(w, r, maxBodyBytes))
+	raw, err := io.ReadAll(httpbody.NewReader(w, r, maxBodyBytes))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
--- a/internal/leader/cluster/machine.go
+++ b/internal/leader/cluster/machine.go
@@ -34,8 +34,11 @@
 
 	Assignments map[uint64]*Assignment // by attempt
 	Used        placement.Resources    // used by the assignments with CountsAsUsed
-	Offer       *placement.Machine     // the machine as input for placement
-	TickGroup   int                    // the tick of each control interval in which it is checked
+	// UnassignedBytes is what the worker's heartbeats need beyond the bytes in Used, most of it for listed tasks without
+	// an assignment.
+	UnassignedBytes float64
+	Offer           *placement.Machine // the machine as input for placement
+	TickGroup       int                // the tick of each control interval in which it is checked
 
 	images   []image // cached on the machine, the most recently used last
 	setIndex int     // in MachineSet.All
@@ -48,6 +51,7 @@
 	Token           uint64                // the highest fencing token that the worker has seen
 	Tasks           []workers.TaskStatus  // of the newest message
 	ObservedAt      time.Time             // when the newest message arrived; zero if none has arrived in this term
+	HeartbeatBytes  int                   // size of the last heartbeat
 	UnobservedFor   time.Duration         // from the message before the newest one to that; noEarlierMessage if there was none
 	NewestHeartbeat liveness.HeartbeatSeq // responses to commands and probes are not counted
 	HeartbeatAt     time.Time             // when the last heartbeat arrived; zero if none has arrived in this term
@@ -123,6 +127,13 @@
 	}
 }
 
+// InUse returns the resources of the machine that no further task may use.
+func (m *Machine) InUse() placement.Resources {
+	used := m.Used
+	used.HeartbeatBytes += m.UnassignedBytes
+	return used
+}
+
 // tickGroup distributes machines evenly over the ticks of a control interval, by a hash of the ID.
 func tickGroup(id string) int {
 	sum := fnv.New32a()
--- a/internal/leader/dispatch/announce.go
+++ b/internal/leader/dispatch/announce.go
@@ -57,7 +57,7 @@
 		return true
 	}
 	total := placement.MachineTotal(machineType)
-	free := total.AddTimes(machine.Used, -1)
+	free := total.AddTimes(machine.InUse(), -1)
 	for request := range requests {
 		if free.Fits(request) {
 			return true
--- a/internal/leader/dispatch/commands.go
+++ b/internal/leader/dispatch/commands.go
@@ -21,16 +21,16 @@
 // tasks would run for another whole lease if this leader failed before the next heartbeat, and each
 // of its successors could extend that again. Stopping them is correct however old the heartbeat is.
 func (d *Dispatcher) StaleHeartbeatResponse(heartbeat *workers.Heartbeat) *workers.HeartbeatResponse {
-	commands := []workers.Command{}
+	batch := newCommandBatch()
 	for i := range heartbeat.Tasks {
 		task := &heartbeat.Tasks[i]
 		job, _, ok := workers.SplitTask(task.Name)
 		decision := reconcile.DecideOnStaleHeartbeat(task, ok && d.Host.IsCancelled(job))
 		if decision.Action == reconcile.Stop {
-			commands = append(commands, d.countCommand(newStopCommand(task.Name, task.Attempt, 0), decision))
+			d.add(batch, newStopCommand(task.Name, task.Attempt, 0), decision)
 		}
 	}
-	return &workers.HeartbeatResponse{FencingToken: d.Fencing.TermToken, Commands: commands}
+	return &workers.HeartbeatResponse{FencingToken: d.Fencing.TermToken, Commands: batch.commands}
 }
 
 // CommandsFor returns the commands for the machine's worker, derived from the difference between
@@ -41,10 +41,12 @@
 // earlier response can arrive after the clear. A task started by a direct command is cleared only
 // once the worker has seen a higher token. From then on the worker refuses a late copy of that
 // command, which would otherwise start the task again.
+//
+// Commands beyond the size of one message are left for the next one.
 func (d *Dispatcher) CommandsFor(machine *cluster.Machine, inHeartbeatResponse bool) []workers.Command {
-	commands := []workers.Command{}
+	batch := newCommandBatch()
 	if machine.Phase == cluster.Releasing {
-		return commands
+		return batch.commands
 	}
 	now := time.Now()
 	for _, a := range machine.Assignments {
@@ -53,18 +55,20 @@
 		}
 		switch decision := reconcile.DecideCommand(d.Tasks.AttemptState(a, now)); decision.Action {
 		case reconcile.Stop:
-			commands = append(commands, d.countCommand(newStopCommand(a.TaskName(), a.WireAttempt(), decision.GraceS), decision))
+			d.add(batch, newStopCommand(a.TaskName(), a.WireAttempt(), decision.GraceS), decision)
 		case reconcile.Start:
-			a.Start.Sent, a.Start.InResponse, a.Start.RequestInFlight = true, inHeartbeatResponse, !inHeartbeatResponse
-			commands = append(commands, d.countCommand(newRunCommand(a), decision))
+			if d.add(batch, newRunCommand(a), decision) {
+				a.Start.Sent, a.Start.InResponse, a.Start.RequestInFlight = true, inHeartbeatResponse, !inHeartbeatResponse
+			}
 		default: // the task continues, or its command has to wait
 		}
 	}
-	return d.addOrphanCommands(machine, commands, inHeartbeatResponse)
+	d.addOrphanCommands(machine, batch, inHeartbeatResponse)
+	return batch.commands
 }
 
-// addOrphanCommands appends the commands for the orphaned tasks that the worker lists.
-func (d *Dispatcher) addOrphanCommands(machine *cluster.Machine, commands []workers.Command, inHeartbeatResponse bool) []workers.Command {
+// addOrphanCommands adds the commands for the orphaned tasks that the worker lists.
+func (d *Dispatcher) addOrphanCommands(machine *cluster.Machine, batch *commandBatch, inHeartbeatResponse bool) {
 	var heldAcks heldAcknowledgements
 	for i := range machine.Worker.Tasks {
 		task := &machine.Worker.Tasks[i] // not copied: that would allocate on each unchanged heartbeat
@@ -80,9 +84,9 @@
 		}
 		switch decision := orphan.DecideCommand(); {
 		case decision.Action == reconcile.Stop:
-			commands = append(commands, d.countCommand(newStopCommand(task.Name, task.Attempt, 0), decision))
+			d.add(batch, newStopCommand(task.Name, task.Attempt, 0), decision)
 		case decision.Action == reconcile.Acknowledge:
-			commands = append(commands, d.countCommand(workers.Command{Op: workers.OpClear, Task: task.Name, Attempt: task.Attempt}, decision))
+			d.add(batch, workers.Command{Op: workers.OpClear, Task: task.Name, Attempt: task.Attempt}, decision)
 		case decision.Reason == reconcile.TokenNotSuperseded:
 			heldAcks.add(task, orphan.CommandToken, d.isJobUnfinished(task))
 		}
@@ -91,13 +95,30 @@
 	if machine.Commands.NeedsHigherToken && heldAcks.newestToken >= d.Fencing.Current {
 		d.Fencing.AcknowledgementsHeld = true
 	}
-	return commands
 }
 
-// countCommand counts a command in the failover progress and returns it.
-func (d *Dispatcher) countCommand(command workers.Command, decision reconcile.Decision) workers.Command {
+// commandBatch holds the commands of one message, which has a size that the protocol allows.
+type commandBatch struct {
+	commands []workers.Command
+	bytes    int
+}
+
+func newCommandBatch() *commandBatch { return &commandBatch{commands: []workers.Command{}} }
+
+// maxCommandsBytes is the size of the commands in one message. The rest is for the message's other fields.
+const maxCommandsBytes = workers.MaxMessageBytes * 15 / 16
+
+// add adds a command to a batch and counts it in the failover progress. It does nothing and returns false if the
+// command does not fit.
+func (d *Dispatcher) add(batch *commandBatch, command workers.Command, decision reconcile.Decision) (fits bool) {
+	size := command.MaxBytes()
+	if batch.bytes+size > maxCommandsBytes {
+		return false
+	}
+	batch.bytes += size
+	batch.commands = append(batch.commands, command)
 	d.Failover.CountCommand(command.Op, decision.Reason)
-	return command
+	return true
 }
 
 func newRunCommand(assignment *cluster.Assignment) workers.Command {
--- a/internal/leader/planner/capacity.go
+++ b/internal/leader/planner/capacity.go
@@ -42,12 +42,27 @@
 	machine, spec := assignment.Machine, assignment.Job.Spec
 	request := placement.TaskRequest(spec)
 	machine.Used = machine.Used.AddTimes(request, float64(sign))
-	c.index.SetFree(machine.Offer, machine.Offer.Total.AddTimes(machine.Used, -1))
+	c.updateFree(machine)
 	c.usedByTeam[spec.Team] = c.usedByTeam[spec.Team].AddTimes(request, float64(sign))
 	c.tasksByRank[spec.Rank()] += sign
 	assignment.Job.Zones[machine.Zone] += sign
 }
 
+func (c *Capacity) updateFree(machine *cluster.Machine) {
+	c.index.SetFree(machine.Offer, machine.Offer.Total.AddTimes(machine.InUse(), -1))
+}
+
+// SetUnassignedBytes sets what the worker's heartbeats need beyond what assignments do. It reports whether that has
+// become less.
+func (c *Capacity) SetUnassignedBytes(machine *cluster.Machine, bytes float64) (less bool) {
+	less = bytes < machine.UnassignedBytes
+	if bytes != machine.UnassignedBytes {
+		machine.UnassignedBytes = bytes
+		c.updateFree(machine)
+	}
+	return less
+}
+
 // Offer makes a machine available to placement if its type is known. It reports whether the machine
 // was not available before.
 func (c *Capacity) Offer(machine *cluster.Machine) (isNew bool) {
@@ -62,7 +77,7 @@
 		offer.Type, offer.Zone, offer.Spot = machine.Type, machine.Zone, machine.Spot
 		offer.Total = placement.MachineTotal(machineType)
 		offer.FetchGBPS = machineType.FetchGBPS
-		offer.Free = offer.Total.AddTimes(machine.Used, -1)
+		offer.Free = offer.Total.AddTimes(machine.InUse(), -1)
 	}
 	return c.index.Insert(offer)
 }
--- a/internal/leader/status.go
+++ b/internal/leader/status.go
@@ -8,6 +8,7 @@
 
 	"ospreyslip/internal/leader/cluster"
 	"ospreyslip/internal/reconcile"
+	"ospreyslip/internal/workers"
 )
 
 // Status is the leader's view of the cluster, for operators.
@@ -36,6 +37,8 @@
 	Tasks      int     `json:"tasks"`
 	CPUs       float64 `json:"cpus"` // used by tasks that are, or may be, on the machine
 	InDoubt    bool    `json:"doubt"`
+	// OversizedBytes is the size of the worker's last heartbeat if it exceeds the protocol's limit; otherwise 0.
+	OversizedBytes int `json:"oversizedBytes,omitempty"`
 }
 
 // ClassStatus sums up the unfinished jobs of one class.
@@ -77,10 +80,14 @@
 func (l *Leader) machineStatuses(now time.Time) []MachineStatus {
 	statuses := []MachineStatus{}
 	for _, machine := range l.state.Machines.All {
+		oversized := machine.Worker.HeartbeatBytes
+		if oversized <= workers.MaxMessageBytes {
+			oversized = 0
+		}
 		statuses = append(statuses, MachineStatus{
 			ID: machine.ID, Type: machine.Type, Zone: machine.Zone, Spot: machine.Spot, State: l.machineState(machine, now),
 			AgentEpoch: machine.Worker.AgentEpoch, Tasks: len(machine.Assignments), CPUs: machine.Used.CPUs,
-			InDoubt: !machine.Commands.InDoubtSince.IsZero(),
+			InDoubt: !machine.Commands.InDoubtSince.IsZero(), OversizedBytes: oversized,
 		})
 	}
 	slices.SortFunc(statuses, func(a, b MachineStatus) int { return cmp.Compare(a.ID, b.ID) })
--- a/internal/leader/tasks/observe.go
+++ b/internal/leader/tasks/observe.go
@@ -35,6 +35,38 @@
 	}
 	dropRefusedStarts(machine, heartbeat)
 	m.reconcileAssignments(machine, heartbeat, now)
+	m.limitHeartbeatSize(machine, heartbeat)
+}
+
+const (
+	// fewListedTasks is a number of tasks that fit into a heartbeat beside those that are assigned.
+	fewListedTasks = 64
+	// unlistedBytes is the part of a heartbeat that is not for assigned tasks.
+	unlistedBytes = workers.MaxMessageBytes - workers.MaxListedTasksBytes
+)
+
+// limitHeartbeatSize keeps room in the worker's heartbeats for what they list beside the assigned tasks: tasks that have
+// ended and are not acknowledged yet, and fields of which this program does not know.
+func (m *Manager) limitHeartbeatSize(machine *cluster.Machine, heartbeat *workers.Heartbeat) {
+	unassigned := 0.0
+	if len(heartbeat.Tasks) > fewListedTasks {
+		for i := range heartbeat.Tasks {
+			if machine.FindAssignment(cluster.RefOf(&heartbeat.Tasks[i])) == nil {
+				unassigned += float64(heartbeat.Tasks[i].MaxBytes())
+			}
+		}
+	}
+	unassigned = max(unassigned, float64(heartbeat.Bytes)-unlistedBytes-machine.Used.HeartbeatBytes)
+	if m.Planner.Capacity.SetUnassignedBytes(machine, unassigned) {
+		m.Planner.PlanRequested = true
+	}
+	if heartbeat.Bytes == 0 {
+		return // it came in a response, to which the limit does not apply
+	}
+	if heartbeat.Bytes > workers.MaxMessageBytes && machine.Worker.HeartbeatBytes <= workers.MaxMessageBytes {
+		slog.Warn("heartbeat larger than the protocol allows", "machine", machine.ID, "term", m.Fencing.Current, "bytes", heartbeat.Bytes, "tasks", len(heartbeat.Tasks))
+	}
+	machine.Worker.HeartbeatBytes = heartbeat.Bytes
 }
 
 // dropRefusedStarts removes tasks from StartedByRequest that the worker no longer lists, once it
--- a/internal/placement/guarantee.go
+++ b/internal/placement/guarantee.go
@@ -12,7 +12,8 @@
 		team := findTeam(teams, job.Spec.Team)
 		total := requested[team.Name].AddTimes(TaskRequest(job.Spec), float64(job.Spec.Tasks))
 		requested[team.Name] = total
-		guarantee := Resources{CPUs: team.GuaranteedCPUs, GPUs: team.GuaranteedGPUs, RAMGB: total.RAMGB} // memory is not guaranteed
+		guarantee := total // only CPUs and GPUs are guaranteed
+		guarantee.CPUs, guarantee.GPUs = team.GuaranteedCPUs, team.GuaranteedGPUs
 		job.Guaranteed = team.GuaranteedCPUs+team.GuaranteedGPUs > 0 && guarantee.Fits(total)
 	}
 }
--- a/internal/workers/client.go
+++ b/internal/workers/client.go
@@ -15,10 +15,6 @@
 	"ospreyslip/internal/wirejson"
 )
 
-// maxResponseBytes limits how much of a worker's heartbeat is read. The protocol limits a line to
-// 64 KiB, and task lists may take several times that.
-const maxResponseBytes = 16 * 64 << 10
-
 // ErrProbeRefused means that a worker responded to a probe with status 409 instead of 200.
 var ErrProbeRefused = errors.New("worker refused the probe")
 
@@ -92,7 +88,7 @@
 		return nil, false, &StatusError{resp.StatusCode}
 	}
 	heartbeat = new(Heartbeat)
-	if err := wirejson.UnmarshalRead(io.LimitReader(resp.Body, maxResponseBytes), heartbeat); err != nil {
+	if err := wirejson.UnmarshalRead(io.LimitReader(resp.Body, maxHeartbeatBytes), heartbeat); err != nil {
 		return nil, false, err
 	}
 	return heartbeat, resp.StatusCode == http.StatusOK, nil
--- a/internal/workers/handler.go
+++ b/internal/workers/handler.go
@@ -11,8 +11,9 @@
 	"ospreyslip/internal/wirejson"
 )
 
-// maxHeartbeatBytes is the protocol's size limit for a request body.
-const maxHeartbeatBytes = 64 << 10
+// maxHeartbeatBytes is the size from which a heartbeat is rejected. It is a multiple of the protocol's limit, as
+// rejecting the heartbeats of a worker ends all its tasks.
+const maxHeartbeatBytes = 16 * MaxMessageBytes
 
 // Handler receives workers' heartbeats over HTTP. The server's goroutines call its functions
 // concurrently.
@@ -33,11 +34,12 @@
 // known, 408 to a heartbeat that does not arrive whole, or 400 to a malformed one.
 func (h *Handler) serveHeartbeat(w http.ResponseWriter, r *http.Request) {
 	var heartbeat Heartbeat
-	body := httpbody.Reader(w, r, maxHeartbeatBytes)
+	body := httpbody.NewReader(w, r, maxHeartbeatBytes)
 	if err := wirejson.UnmarshalRead(body, &heartbeat); err != nil || heartbeat.Machine == "" {
 		w.WriteHeader(httpbody.RejectionStatus(err))
 		return
 	}
+	heartbeat.Bytes = body.BytesRead()
 	if response := h.HandleHeartbeat(r.Context(), &heartbeat); response != nil {
 		writeJSON(w, http.StatusOK, response)
 		return
--- a/internal/workers/handler_test.go
+++ b/internal/workers/handler_test.go
@@ -80,6 +80,7 @@
 		}
 	}
 	for _, heartbeat := range got[1:] {
+		heartbeat.Bytes = got[0].Bytes // the only difference that is due
 		if d := cmp.Diff(got[0], heartbeat); d != "" {
 			t.Errorf("(-without +with unknown fields):\n%s", d)
 		}
--- a/internal/workers/wire.go
+++ b/internal/workers/wire.go
@@ -47,6 +47,8 @@
 	SpotNoticeS *float64 `json:"warningS"`
 	// Tasks lists all tasks on the machine, including ended ones until they are cleared.
 	Tasks []TaskStatus `json:"talons"`
+	// Bytes is the size of the request with the heartbeat; 0 if it came in a response.
+	Bytes int `json:"-"`
 }
 
 // TaskStatus is the status of one attempt to run a task.
