Stragglers are judged again, and the forecast asks what placement asks

Callers saw: an array bound to the zone of a machine that was slow once stays queued, while the machine has room, and no other machine is rented.

Cause: nothing unset the mark of a straggler with services; and the forecast, and the count of missing CPUs, took its room for room that placement would use. Machine.Accepts, placement's question, was not asked there.

Why it works: the forecast asks Machine.Accepts, so that such a job is late and a machine is provisioned; without one to be had, the straggler is judged again after 30 s, or 60 s if it was found before, below the users' 90 s.

--- a/internal/autoscaler/forecast.go
+++ b/internal/autoscaler/forecast.go
@@ -12,6 +12,7 @@
 // MachineForecast is the expected availability of one machine. Times are in seconds from now.
 type MachineForecast struct {
 	MachinePool
+	Offer          *placement.Machine  // the machine as input for placement; nil if it has none
 	AvailableFromS float64             // when Free becomes usable: later than now if the machine is booting
 	Free           placement.Resources // free at AvailableFromS
 	Releases       []Release           // resources that running tasks will release
@@ -53,7 +54,7 @@
 	var starts startHeap
 	for i := range machines {
 		machine := &machines[i]
-		if !pending.Spec.Allows(machine.Type, machine.Zone, machine.Spot) {
+		if !machine.accepts(pending.Spec) {
 			continue
 		}
 		if atS := machine.earliestStart(request); atS+pending.RunS <= pending.DeadlineS {
@@ -73,6 +74,11 @@
 	return 0
 }
 
+// accepts reports whether placement may place tasks of a job on the machine, once there is room.
+func (m *MachineForecast) accepts(spec *jobs.Spec) bool {
+	return spec.Allows(m.Type, m.Zone, m.Spot) && (m.Offer == nil || m.Offer.Accepts(spec))
+}
+
 // earliestStart returns when the machine has room for a request, or +Inf if it never will.
 func (m *MachineForecast) earliestStart(request placement.Resources) float64 {
 	free, atS := m.Free, m.AvailableFromS
--- a/internal/autoscaler/forecast_test.go
+++ b/internal/autoscaler/forecast_test.go
@@ -33,6 +33,10 @@
 			[]MachineForecast{{Free: cpus(1)}}, []PendingTasks{{task(1, true), 1, 20, 25}, {task(1, true), 1, 5, 24}}, []int{0, 1}},
 		{"spot machine not allowed",
 			[]MachineForecast{{MachinePool: MachinePool{Spot: true}, Free: cpus(4)}}, []PendingTasks{{task(1, false), 1, 10, 25}}, []int{1}},
+		{"a straggler takes no batch task, although it has room",
+			[]MachineForecast{{Free: cpus(4), Offer: &placement.Machine{Straggler: true}}}, []PendingTasks{{task(1, true), 2, 10, 25}}, []int{2}},
+		{"a machine on which the job has failed takes none of its tasks",
+			[]MachineForecast{{Free: cpus(4), Offer: &placement.Machine{AvoidJobs: map[string]bool{"": true}}}}, []PendingTasks{{task(1, true), 2, 10, 25}}, []int{2}},
 		{"a booting machine is available once it has booted",
 			[]MachineForecast{{AvailableFromS: 20, Free: cpus(4)}}, []PendingTasks{{task(4, true), 1, 10, 29}, {task(4, true), 1, 10, 31}}, []int{1, 0}},
 	} {
--- a/internal/controller/straggler_test.go
+++ b/internal/controller/straggler_test.go
@@ -82,3 +82,34 @@
 		})
 	}
 }
+
+// TestStragglerThatRecovers guards against a job that waits for ever because its only room is on a machine that was slow
+// once: placement refused the machine, and scale-out took its room for room in which the job would begin.
+func TestStragglerThatRecovers(t *testing.T) {
+	// longestWait is the users' limit for a job that could be placed.
+	const longestWait = 90 * time.Second
+	for name, machinesLeft := range map[string]int{"another machine can be provisioned": 5, "no other machine": 0} {
+		t.Run(name, func(t *testing.T) {
+			runCluster(t, nil, func(c *cluster) {
+				service := serviceJob("j-1", 2)
+				service.CPUs = 0.5
+				c.submit("perch-0", service)
+				c.waitFor(60*time.Second, "service running", func() bool { return c.tasksOnMachines("j-1", 2) == 2 })
+				machine := c.world.MachinesOf("j-1/0")[0]
+				worker := c.world.Worker(machine)
+				worker.SetSlowness(20)
+				job := batchJob("j-2", 60, 2)
+				job.CPUs = 0.5
+				c.submit("perch-0", job)
+				c.waitForDone(120*time.Second, "j-2")
+				worker.SetSlowness(1)
+				c.world.SetCapacity(len(c.world.Machines()) + machinesLeft)
+
+				bound := batchJob("j-3", 2, 2)
+				bound.Zone = c.world.ZoneOf(machine)
+				c.submit("perch-0", bound)
+				c.waitForDone(longestWait, "j-3")
+			})
+		})
+	}
+}
--- a/internal/leader/cluster/machine.go
+++ b/internal/leader/cluster/machine.go
@@ -94,6 +94,8 @@
 	Dead        bool            // declared dead by the failure detector
 	Draining    bool            // gets no new tasks until it is released
 	SlowLogOdds float64         // log odds, by completed tasks, that the machine is a straggler
+	SlowUntil   time.Time       // until when the machine counts as a straggler without being judged again
+	SlowPeriods int             // how often the machine was found to be a straggler
 	ReclaimAt   time.Time       // when the cloud reclaims the machine, by its notice; zero without one
 	FailedJobs  map[string]bool // jobs that failed on the machine since a task last completed there
 
--- a/internal/leader/scaler/demand.go
+++ b/internal/leader/scaler/demand.go
@@ -83,7 +83,7 @@
 	missing := max(s.arrivals.cpusAt(now), s.backlogCPUSeconds()/s.arrivals.window.Seconds())
 	for _, m := range s.deps.State.Machines.All {
 		machineType := s.deps.Catalog.Type(m.Type)
-		if machineType == nil || m.Phase == cluster.Releasing || m.Health.Dead || m.Health.Draining {
+		if machineType == nil || m.Phase == cluster.Releasing || m.Health.Dead || m.Health.Draining || m.Offer.Straggler {
 			continue
 		}
 		missing -= machineType.CPUs
--- a/internal/leader/scaler/forecast.go
+++ b/internal/leader/scaler/forecast.go
@@ -34,7 +34,7 @@
 		}
 		total := placement.MachineTotal(machineType)
 		machines = append(machines, autoscaler.MachineForecast{
-			MachinePool: poolOf(m), AvailableFromS: wait.Seconds(), Free: total.AddTimes(m.Used, -1), Releases: s.forecastReleases(m, now),
+			MachinePool: poolOf(m), Offer: m.Offer, AvailableFromS: wait.Seconds(), Free: total.AddTimes(m.Used, -1), Releases: s.forecastReleases(m, now),
 		})
 	}
 	slices.SortFunc(machines, func(a, b autoscaler.MachineForecast) int { return cmp.Compare(a.AvailableFromS, b.AvailableFromS) })
--- a/internal/leader/tasks/drain.go
+++ b/internal/leader/tasks/drain.go
@@ -57,17 +57,46 @@
 	return completionChance*expectedRunS < (1-completionChance)*withinS
 }
 
+const (
+	// The time for which a straggler counts as one, as fractions of the time without resources after which a job
+	// is starved. It doubles up to the maximum if the machine is found to be slow again. A job that has no other
+	// machine waits no longer than that.
+	stragglerPeriodDivisor    = 4
+	maxStragglerPeriodDivisor = 2
+)
+
+// markStraggler excludes the machine from work that runs to completion, for a while.
+func (m *Manager) markStraggler(machine *cluster.Machine, now time.Time) {
+	limit := m.Derived.Leader.StarvationLimit
+	period := min(limit/stragglerPeriodDivisor<<machine.Health.SlowPeriods, limit/maxStragglerPeriodDivisor)
+	machine.Offer.Straggler = true
+	machine.Health.SlowUntil = now.Add(period)
+	machine.Health.SlowPeriods = min(machine.Health.SlowPeriods+1, maxStragglerPeriodDivisor)
+}
+
+// endStragglerPeriod lets a machine have all kinds of work again, so that it is judged by that, unless it is drained. It
+// reports whether the machine is still excluded.
+func (m *Manager) endStragglerPeriod(machine *cluster.Machine, now time.Time) (excluded bool) {
+	if !machine.Offer.Straggler || machine.Health.Draining || now.Before(machine.Health.SlowUntil) {
+		return machine.Offer.Straggler
+	}
+	slog.Info("straggler is judged again", "machine", machine.ID, "term", m.Fencing.Current)
+	machine.Offer.Straggler, machine.Health.SlowLogOdds = false, 0
+	m.Planner.PlanRequested = true
+	return false
+}
+
 // DrainStraggler reports whether the machine is a straggler: one that runs tasks much more slowly
 // than others. It stops the machine's batch and gang tasks that would complete sooner elsewhere, each at most
 // once, and drains the machine unless it runs services.
 func (m *Manager) DrainStraggler(machine *cluster.Machine, now time.Time) bool {
-	if !machine.Offer.Straggler {
+	if !m.endStragglerPeriod(machine, now) {
 		slow, odds := m.RunTimes.IsStraggler(machine)
 		if !slow {
 			return false
 		}
 		slog.Info("straggler detected", "machine", machine.ID, "term", m.Fencing.Current, "odds", odds)
-		machine.Offer.Straggler = true
+		m.markStraggler(machine, now)
 	}
 	runsServices := false
 	for _, a := range machine.Assignments {
--- a/internal/leader/tasks/manager_test.go
+++ b/internal/leader/tasks/manager_test.go
@@ -84,3 +84,25 @@
 		}
 	}
 }
+
+// A straggler is excluded for a period that doubles once, and then judged again, unless it is drained.
+func TestStragglerPeriods(t *testing.T) {
+	m, _, job := assignAll(t, jobs.Batch, 1)
+	m.Derived.Leader.StarvationLimit = 2 * time.Minute
+	machine, now := job.Assignments[0].Machine, time.Unix(1000, 0)
+	for _, period := range []time.Duration{30 * time.Second, time.Minute, time.Minute} {
+		m.markStraggler(machine, now)
+		if last := now.Add(period - time.Second); !m.endStragglerPeriod(machine, last) {
+			t.Errorf("not excluded until the end of a period of %s", period)
+		}
+		now = now.Add(period)
+		if m.endStragglerPeriod(machine, now) {
+			t.Errorf("excluded for longer than %s", period)
+		}
+	}
+	m.markStraggler(machine, now)
+	machine.Health.Draining = true
+	if !m.endStragglerPeriod(machine, now.Add(time.Hour)) {
+		t.Error("a drained machine gets work again")
+	}
+}
