Submissions: a known job is answered before a new one is judged

Cause: the judgements of size and of the catalog's presence came without a look whether the job is known.

Why it works: newRecord has all judgements, and submitJob answers any refusal of it by respondIfKnown.

--- a/internal/jobs/jobapi/response.go
+++ b/internal/jobs/jobapi/response.go
@@ -34,6 +34,9 @@
 // notFoundResponse returns the response to a request for a job that was never accepted.
 func notFoundResponse() *response { return rejectionResponse(http.StatusNotFound, "no such job") }
 
+// jobTooLargeText is the reason for which a job is rejected whose record does not fit into a value of the key-value store.
+const jobTooLargeText = "job too large"
+
 // Reasons for which a request is rejected for now.
 const (
 	tooManyRequestsText  = "too many requests at this node"
--- a/internal/jobs/jobapi/submit.go
+++ b/internal/jobs/jobapi/submit.go
@@ -31,17 +31,10 @@
 // submitJob accepts a job. Submissions are idempotent: if the job is already known, the response
 // is its state, even if a new job with the same description would be rejected.
 func (a *API) submitJob(ctx context.Context, spec *jobs.Spec) *response {
-	types := a.Catalog()
-	if types == nil {
-		return unavailableResponse(noMachineTypesText)
-	}
-	if refusal := a.checkNewJob(spec, types); refusal != nil {
+	value, refusal := a.newRecord(spec)
+	if refusal != nil {
 		return a.respondIfKnown(ctx, spec.ID, refusal)
 	}
-	value, ok := a.encodeNewRecord(spec, types)
-	if !ok {
-		return rejectionResponse(http.StatusBadRequest, "job too large")
-	}
 	return a.retry(ctx, func() (*response, error) { return a.createRecord(ctx, spec, value) })
 }
 
@@ -63,25 +56,32 @@
 	return spec, nil
 }
 
-// checkNewJob returns the response that rejects the submission if the job is new, or nil if it
-// can be accepted.
-func (a *API) checkNewJob(spec *jobs.Spec, types []jobs.MachineType) *response {
+// newRecord returns the encoded record of a job, or the response that rejects the submission if the job is new.
+func (a *API) newRecord(spec *jobs.Spec) (value []byte, refusal *response) {
+	types := a.Catalog()
+	if types == nil {
+		return nil, unavailableResponse(noMachineTypesText)
+	}
 	if err := jobs.CheckRunnable(spec, types, a.Settings); err != nil {
-		return rejectionResponse(http.StatusUnprocessableEntity, err.Error())
+		return nil, rejectionResponse(http.StatusUnprocessableEntity, err.Error())
 	}
 	if !a.HasMemory() {
-		return unavailableResponse(memoryShortText)
+		return nil, unavailableResponse(memoryShortText)
 	}
 	if _, known := a.Cache.Known(spec.ID); !known && !a.Cache.Readiness.ProvenCurrent() {
 		// The job may have been accepted and finished before this controller started.
-		return unavailableResponse(notCurrentText)
+		return nil, unavailableResponse(notCurrentText)
+	}
+	value, fits := a.encodeNewRecord(spec, types)
+	if !fits {
+		return nil, rejectionResponse(http.StatusBadRequest, jobTooLargeText)
 	}
-	return nil
+	return value, nil
 }
 
 // respondIfKnown responds to a submission that is rejected if the job is new. If the job is known,
-// the response is its state, because a job accepted under an earlier catalog or team settings
-// stays accepted. Otherwise the response is the rejection.
+// the response is its state, because a job accepted under an earlier catalog, or earlier settings or
+// limits, stays accepted. Otherwise the response is the rejection.
 func (a *API) respondIfKnown(ctx context.Context, id string, rejection *response) *response {
 	rec, _, err := a.readRecord(ctx, id)
 	switch {
@@ -97,9 +97,9 @@
 	return rejection
 }
 
-// encodeNewRecord returns the encoded record of a new job; ok is false if it does not fit into
-// one value of the key-value store.
-func (a *API) encodeNewRecord(spec *jobs.Spec, types []jobs.MachineType) (value []byte, ok bool) {
+// encodeNewRecord returns the encoded record of a new job, and whether it fits into one value of the key-value
+// store.
+func (a *API) encodeNewRecord(spec *jobs.Spec, types []jobs.MachineType) (value []byte, fits bool) {
 	rec := jobs.Record{State: jobs.Queued, Tasks: spec.Tasks, Spec: spec, AcceptedAtMs: time.Now().UnixMilli()}
 	value, err := json.Marshal(rec)
 	if err == nil && len(value) > a.Derived.Store.ValueBytes {
