Run times: no estimate, and a senseless one, are served

Callers saw: an array with flightS 0 is accepted, and no machine is rented for it.

Cause: scale-out divides the time that is left by the expected run time; with 0, or next to it, one machine does without end. And estimates of any size were averaged into the correction of their class.

Why it works: the estimator gives a positive and finite run time for all work that ends: estimates count between 0.1 s and 30 days; without one, the mean of the class, or a minute; one task corrects its class by a factor of eight at most. Nothing divides by what an owner says.

--- a/internal/leader/runtimes/estimator.go
+++ b/internal/leader/runtimes/estimator.go
@@ -22,6 +22,16 @@
 	minRunTimeS        = 1e-3
 )
 
+// Bounds of what owners' estimates can do. Any number is accepted as an estimate.
+const (
+	minEstimateS    = 0.1
+	maxEstimateS    = 30 * 24 * 3600.0
+	unknownRunTimeS = 60.0 // of a task without an estimate, until a task of its class has completed
+	// maxEstimateError is the factor by which one task may show the estimates of its class to be wrong. Without a
+	// limit, a few senseless estimates would spoil those of all other jobs of the class.
+	maxEstimateError = 8.0
+)
+
 // Estimator holds the run time distributions of all classes of jobs.
 type Estimator struct {
 	byClass map[string]*Distribution
@@ -33,8 +43,10 @@
 // Distribution describes the observed run times of a class.
 type Distribution struct {
 	Correction float64 // moving average of log(run time / owner's estimate)
+	Mean       float64 // moving average of log run times
 	Variance   float64 // of log run times within a job
 	Tasks      float64 // number observed for the correction
+	RunTimes   float64 // number observed for the mean
 	Jobs       float64 // number observed for the variance
 }
 
@@ -49,12 +61,29 @@
 }
 
 // RunTimeS returns the expected run time of a task in seconds: its owner's estimate, corrected by
-// the recent error of the estimates of its class.
+// the recent error of the estimates of its class, or without an estimate that of the tasks of its
+// class. It is 0 for services, and positive for all other jobs.
 func (e *Estimator) RunTimeS(spec *jobs.Spec) float64 {
-	if distribution := e.byClass[spec.Class]; distribution != nil {
-		return spec.EstimatedRuntimeS * math.Exp(distribution.Correction)
+	distribution := e.byClass[spec.Class]
+	switch {
+	case !spec.RunsToCompletion():
+		return 0
+	case hasEstimate(spec) && distribution != nil:
+		return estimateS(spec) * math.Exp(distribution.Correction)
+	case hasEstimate(spec):
+		return estimateS(spec)
+	case distribution != nil && distribution.RunTimes > 0:
+		return math.Exp(distribution.Mean)
 	}
-	return spec.EstimatedRuntimeS
+	return unknownRunTimeS
+}
+
+// hasEstimate reports whether the owner of a job has said how long its tasks run.
+func hasEstimate(spec *jobs.Spec) bool { return spec.EstimatedRuntimeS > 0 }
+
+// estimateS returns the owner's estimate of a task's run time in seconds, within sensible bounds.
+func estimateS(spec *jobs.Spec) float64 {
+	return min(max(spec.EstimatedRuntimeS, minEstimateS), maxEstimateS)
 }
 
 // JobRunTimeS returns the expected run time of a task of a job in seconds. It prefers the median of
@@ -71,7 +100,7 @@
 func (e *Estimator) TaskCompleted(assignment *cluster.Assignment, now time.Time) {
 	job, seconds := assignment.Job, now.Sub(assignment.RunningSince).Seconds()
 	startUnobserved := !assignment.RunStartKnown || assignment.Restored && job.IsGang()
-	if startUnobserved || job.Spec.EstimatedRuntimeS <= 0 || seconds <= 0 {
+	if startUnobserved || seconds <= 0 {
 		return
 	}
 	distribution, logSeconds := e.ForClass(job.Spec.Class), math.Log(seconds)
@@ -82,9 +111,20 @@
 		health.SlowLogOdds = max(logOdds, -float64(len(assignment.Machine.Assignments)))
 	}
 	job.RecordRunTime(logSeconds)
-	distribution.Tasks++
-	weight := max(minTaskWeight, 1/distribution.Tasks)
-	distribution.Correction += weight * (logSeconds - math.Log(job.Spec.EstimatedRuntimeS) - distribution.Correction)
+	distribution.recordTask(job.Spec, logSeconds)
+}
+
+// recordTask adds the run time of a completed task to the moving averages.
+func (d *Distribution) recordTask(spec *jobs.Spec, logSeconds float64) {
+	d.RunTimes++
+	d.Mean += max(minTaskWeight, 1/d.RunTimes) * (logSeconds - d.Mean)
+	if !hasEstimate(spec) {
+		return
+	}
+	limit := math.Log(maxEstimateError)
+	estimateError := min(max(logSeconds-math.Log(estimateS(spec)), -limit), limit)
+	d.Tasks++
+	d.Correction += max(minTaskWeight, 1/d.Tasks) * (estimateError - d.Correction)
 }
 
 // JobCompleted records the variance of run times among the tasks of a completed job.
