--- a/internal/controller/fault_combinations_test.go
+++ b/internal/controller/fault_combinations_test.go
@@ -129,6 +129,16 @@
 	}
 }
 
+// checkAnswers checks that a request about each unfinished job has succeeded since the given time.
+func (s *faultScenario) checkAnswers(t *testing.T, since time.Time) {
+	t.Helper()
+	for _, id := range s.cluster.world.UnansweredJobs(since) {
+		if !s.users.toldFinished(id) {
+			t.Errorf("no query about %s succeeded for 75 s", id)
+		}
+	}
+}
+
 // TestRandomFaultCombinations overlaps faults of all kinds for two and a half minutes, while users
 // submit, query, resubmit and cancel jobs. No rule of the protocol may be violated. After the
 // faults, a query about every job succeeds within 75 s and all jobs finish within minutes.
@@ -145,11 +155,7 @@
 					}
 				}
 				c.advance(76 * time.Second)
-				for _, id := range c.world.UnansweredJobs(faultsEndedAt) {
-					if !scenario.users.toldFinished(id) {
-						t.Errorf("no query about %s succeeded for 75 s", id)
-					}
-				}
+				scenario.checkAnswers(t, faultsEndedAt)
 				c.waitFor(4*time.Minute, "all jobs finished", func() bool {
 					return !slices.ContainsFunc(scenario.finiteJobs, func(spec *jobs.Spec) bool {
 						return c.world.IsJobAccepted(spec.ID) && !scenario.users.toldFinished(spec.ID)
--- a/internal/emulator/network.go
+++ b/internal/emulator/network.go
@@ -46,8 +46,8 @@
 	n.hosts[addr] = handler
 }
 
-// SetRewriteBody sets a function that replaces the bodies of requests to controllers and of all responses.
-// With nil they stay as they are.
+// SetRewriteBody sets a function that replaces the bodies that controllers get: of requests to them, and of the
+// responses to their own. With nil they stay as they are.
 func (n *Network) SetRewriteBody(rewrite func(body []byte) []byte) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/emulator/tasks.go
+++ b/internal/emulator/tasks.go
@@ -24,6 +24,13 @@
 	return w.tasks.starts
 }
 
+// StartsByTask returns the number of attempts that have started, by task.
+func (w *World) StartsByTask() map[string]int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return maps.Clone(w.tasks.startsByTask)
+}
+
 // TaskEnds returns the number of task attempts that have left their machines, by cause.
 func (w *World) TaskEnds() map[string]int {
 	w.mu.Lock()
@@ -107,6 +114,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.tasks.starts++
+	w.tasks.startsByTask[status.Name]++
 	machine := worker.status.Machine
 	jobID, _, _ := workers.SplitTask(status.Name)
 	machines := w.tasks.machinesOf[status.Name]
--- a/internal/emulator/transport.go
+++ b/internal/emulator/transport.go
@@ -96,17 +96,19 @@
 		time.Sleep(transitDelay)
 		recorder := httptest.NewRecorder()
 		handler.ServeHTTP(recorder, req)
-		recorder.Body = bytes.NewBuffer(t.network.rewritten(recorder.Body.Bytes()))
+		if !strings.HasPrefix(req.URL.Path, controllerPathPrefix) {
+			recorder.Body = bytes.NewBuffer(t.network.rewritten(recorder.Body.Bytes()))
+		}
 		time.Sleep(transitDelay)
 		response <- recorder.Result()
 	})
 	return response
 }
 
-// controllerPathPrefix begins the paths of requests to controllers that have a body.
+// controllerPathPrefix begins the paths of requests of users and workers to controllers.
 const controllerPathPrefix = "/v1/"
 
-// rewritten returns the body that the receiver of a message gets.
+// rewritten returns the body that a controller gets.
 func (n *Network) rewritten(body []byte) []byte {
 	n.mu.Lock()
 	rewrite := n.rewriteBody
--- a/internal/emulator/users.go
+++ b/internal/emulator/users.go
@@ -97,6 +97,9 @@
 	}
 	history.accepted = true
 	history.lastResponseAt = time.Now()
+	if w.RecordsAreKept && w.Store.Value(jobs.RecordKey(jobID)) == nil {
+		w.traceLog.recordViolation("forgotten: %s is %s, and has no record", jobID, state)
+	}
 	switch {
 	case !before.submitted:
 		w.traceLog.recordViolation("invented: %s is %s", jobID, state)
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -37,6 +37,8 @@
 	// nil.
 	JobCompleted func(id string)
 
+	// RecordsAreKept says that the store loses no record, so that a job that was accepted must have one.
+	RecordsAreKept bool
 	// RunTimeOf returns the run time of a task of a batch job in seconds. If it is nil, it is the estimate of
 	// the job's owner.
 	RunTimeOf func(job *jobs.Spec, task int) float64
@@ -76,6 +78,7 @@
 	done         map[string]bool            // whether a task has completed, by task
 	cancelled    map[string]time.Time       // when a user was first told that a job is cancelled, by job
 	starts       int
+	startsByTask map[string]int // attempts that have started, by task
 	ends         map[string]int // tasks that have left their machines, by cause
 	gangs        map[gangKey]*gang
 	gangProgress map[string]time.Duration // run time saved in checkpoints, by job
@@ -89,7 +92,7 @@
 		ctx:   ctx,
 		cloud: cloud{machines: map[string]*machine{}, provisioned: map[string][]string{}, capacity: 1000},
 		tasks: taskState{
-			specs: map[string]*jobs.Spec{}, machinesOf: map[string]map[string]bool{}, done: map[string]bool{},
+			specs: map[string]*jobs.Spec{}, machinesOf: map[string]map[string]bool{}, done: map[string]bool{}, startsByTask: map[string]int{},
 			cancelled: map[string]time.Time{}, ends: map[string]int{},
 			gangs: map[gangKey]*gang{}, gangProgress: map[string]time.Duration{},
 		},
--- a/internal/leader/planner/planner.go
+++ b/internal/leader/planner/planner.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"log/slog"
 	"slices"
 	"time"
 
@@ -178,6 +179,7 @@
 		if !preempted.WithoutGrace {
 			graceS = a.Job.Spec.CheckpointSaveS
 		}
+		slog.Debug("task preempted", "task", a.TaskName(), "machine", a.Machine.ID, "for", preempted.For.Spec.ID)
 		plan.Preemptions = append(plan.Preemptions, Preemption{a, graceS})
 	}
 	for _, assigned := range output.Assignments {
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -17,6 +17,7 @@
 type Preemption struct {
 	Machine      *Machine
 	Task         *RunningTask
+	For          *Job // the job that needs the room
 	WithoutGrace bool // no time for a checkpoint, because the task that needs the room should start at once
 }
 
@@ -60,6 +61,7 @@
 func (p *planner) scheduleAll(queue []queueEntry, out *Output) {
 	for len(queue) > 0 {
 		if queue[0].Spec.Shape == jobs.Gang {
+			p.starvedEntry = queue[0].starved
 			p.scheduleGang(queue[0], out)
 			queue = queue[1:]
 			continue
@@ -103,6 +105,7 @@
 // long as no machine without it would be filled better.
 func (p *planner) placeTasks(entry queueEntry, out *Output, cachedOnly bool) (remaining int) {
 	job := entry.Job
+	p.starvedEntry = entry.starved
 	remaining = job.Pending
 	if entry.starved {
 		remaining = min(remaining, job.StarvedTasks)
--- a/internal/placement/plan_test.go
+++ b/internal/placement/plan_test.go
@@ -257,6 +257,30 @@
 			in.Machines = []*Machine{m}
 			in.Jobs = []*Job{newJob("j-2", 1, 4, nil), newJob("j-3", 1, 2, prod)}
 		}, "end j-1/0@a1 unmet j-2 1"},
+		{"a job does not preempt a guaranteed one, which is ahead of it in the queue and takes the room that is left", func(in *scenario) {
+			m := newMachine("a1", 2)
+			guaranteed := newJob("j-1", 2, 1, func(s *jobs.Spec) { s.Priority = jobs.BestEffort })
+			guaranteed.Guaranteed = true
+			addRunningTask(m, guaranteed, 0, 1)
+			in.Machines = []*Machine{m}
+			in.Jobs = []*Job{guaranteed, newJob("j-2", 1, 1, nil)}
+		}, "j-1/0>a1 unmet j-2 1"},
+		{"a starved task preempts a guaranteed one of lower priority", func(in *scenario) {
+			m := newMachine("a1", 4)
+			guaranteed := newJob("j-1", 1, 4, func(s *jobs.Spec) { s.Priority = jobs.BestEffort })
+			guaranteed.Guaranteed = true
+			addRunningTask(m, guaranteed, 0, 1)
+			starved := newJob("j-2", 2, 4, nil)
+			starved.StarvedTasks = 1
+			in.Machines, in.Jobs = []*Machine{m}, []*Job{starved}
+		}, "stop j-1/0@a1 unmet j-2 1"},
+		{"production preempts a guaranteed task", func(in *scenario) {
+			m := newMachine("a1", 4)
+			guaranteed := newJob("j-1", 1, 4, nil)
+			guaranteed.Guaranteed = true
+			addRunningTask(m, guaranteed, 0, 1)
+			in.Machines, in.Jobs = []*Machine{m}, []*Job{newJob("j-2", 1, 2, prod)}
+		}, "end j-1/0@a1"},
 		{"batch job: victims get time for a checkpoint", func(in *scenario) {
 			m := newMachine("a1", 4)
 			addRunningTask(m, newJob("j-1", 1, 4, func(s *jobs.Spec) { s.Priority = jobs.BestEffort }), 0, 1)
--- a/internal/placement/planner_state.go
+++ b/internal/placement/planner_state.go
@@ -15,6 +15,7 @@
 	tasksLoaded  map[*Machine]bool      // machines for which Input.LoadTasks was called
 	onlyZone     string                 // if set, machines of other zones are skipped
 	requireImage bool                   // if set, machines without the job's image are skipped
+	starvedEntry bool                   // the entry that is being scheduled is that of a job's starved tasks
 	undoEnabled  bool
 	undo         []func()
 }
--- a/internal/placement/preemption.go
+++ b/internal/placement/preemption.go
@@ -15,6 +15,11 @@
 	if task.Starved && job.Spec.Priority != jobs.Prod {
 		return false // it has waited too long to lose its machine at once
 	}
+	if victim.Guaranteed && !p.aheadOfGuaranteed(job) {
+		// The victim's job is ahead in the queue. It would get the room that becomes free, lose another task for
+		// it, and so on.
+		return false
+	}
 	if victim.Spec.Rank() < job.Spec.Rank() {
 		return true
 	}
@@ -27,6 +32,12 @@
 	return p.mayReclaim(job) && !victim.Guaranteed && victim.Spec.Team != job.Spec.Team && p.exceedsGuarantee(victim.Spec.Team)
 }
 
+// aheadOfGuaranteed reports whether the entry of a job that is being scheduled is ahead of those of guaranteed jobs
+// in the queue, or among them.
+func (p *planner) aheadOfGuaranteed(job *Job) bool {
+	return job.Guaranteed || job.Preempting || job.Spec.Priority == jobs.Prod || p.starvedEntry
+}
+
 // preemptionPossible reports whether there may be victims for a job anywhere. It avoids the
 // search, which visits all machines, in the common case where no running task is of lower rank.
 func (p *planner) preemptionPossible(job *Job) bool {
@@ -139,7 +150,7 @@
 	}
 	withoutGrace := search.job.Spec.Shape != jobs.Batch
 	for _, victim := range option.victims {
-		out.Preemptions = append(out.Preemptions, Preemption{machine, victim, withoutGrace})
+		out.Preemptions = append(out.Preemptions, Preemption{machine, victim, search.job, withoutGrace})
 		machine.Tasks = slices.DeleteFunc(machine.Tasks, func(task *RunningTask) bool { return task == victim })
 		machine.Releasing = machine.Releasing.AddTimes(TaskRequest(victim.Job.Spec), 1)
 	}
