--- a/cmd/ospreyslip/main.go
+++ b/cmd/ospreyslip/main.go
@@ -16,7 +16,7 @@
 	"ospreyslip/internal/settings"
 )
 
-const version = "0.9.2"
+const version = "0.9.3"
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
