Leader: shorter parts for the size of heartbeats and the periods of stragglers

One function reserves room in heartbeats, another records their size; the doubling of a straggler's period has a constant of its own. No behaviour changes.

--- a/internal/leader/cluster/machine.go
+++ b/internal/leader/cluster/machine.go
@@ -76,6 +76,14 @@
 	return w.UnobservedFor != noEarlierMessage && w.UnobservedFor <= within
 }
 
+// OversizedBytes returns the size of the last heartbeat if it is larger than the protocol allows, and otherwise 0.
+func (w *WorkerState) OversizedBytes() int {
+	if w.HeartbeatBytes <= workers.MaxMessageBytes {
+		return 0
+	}
+	return w.HeartbeatBytes
+}
+
 // CommandState is the state of the delivery of commands to the machine's worker.
 type CommandState struct {
 	NotifyPending        bool // a command request is to be sent at once
--- a/internal/leader/status.go
+++ b/internal/leader/status.go
@@ -8,7 +8,6 @@
 
 	"ospreyslip/internal/leader/cluster"
 	"ospreyslip/internal/reconcile"
-	"ospreyslip/internal/workers"
 )
 
 // Status is the leader's view of the cluster, for operators.
@@ -80,14 +79,10 @@
 func (l *Leader) machineStatuses(now time.Time) []MachineStatus {
 	statuses := []MachineStatus{}
 	for _, machine := range l.state.Machines.All {
-		oversized := machine.Worker.HeartbeatBytes
-		if oversized <= workers.MaxMessageBytes {
-			oversized = 0
-		}
 		statuses = append(statuses, MachineStatus{
 			ID: machine.ID, Type: machine.Type, Zone: machine.Zone, Spot: machine.Spot, State: l.machineState(machine, now),
 			AgentEpoch: machine.Worker.AgentEpoch, Tasks: len(machine.Assignments), CPUs: machine.Used.CPUs,
-			InDoubt: !machine.Commands.InDoubtSince.IsZero(), OversizedBytes: oversized,
+			InDoubt: !machine.Commands.InDoubtSince.IsZero(), OversizedBytes: machine.Worker.OversizedBytes(),
 		})
 	}
 	slices.SortFunc(statuses, func(a, b MachineStatus) int { return cmp.Compare(a.ID, b.ID) })
--- a/internal/leader/tasks/drain.go
+++ b/internal/leader/tasks/drain.go
@@ -58,20 +58,20 @@
 }
 
 const (
-	// The time for which a straggler counts as one, as fractions of the time without resources after which a job
-	// is starved. It doubles up to the maximum if the machine is found to be slow again. A job that has no other
-	// machine waits no longer than that.
-	stragglerPeriodDivisor    = 4
-	maxStragglerPeriodDivisor = 2
+	// stragglerPeriodDivisor divides the time without resources after which a job is starved: the quotient is the
+	// time for which a machine counts as a straggler. A job that may use no other machine waits for its end.
+	stragglerPeriodDivisor = 4
+	// maxStragglerDoublings is how often that time is doubled for a machine that is found to be slow again.
+	maxStragglerDoublings = 1
 )
 
 // markStraggler excludes the machine from work that runs to completion, for a while.
 func (m *Manager) markStraggler(machine *cluster.Machine, now time.Time) {
-	limit := m.Derived.Leader.StarvationLimit
-	period := min(limit/stragglerPeriodDivisor<<machine.Health.SlowPeriods, limit/maxStragglerPeriodDivisor)
+	period := m.Derived.Leader.StarvationLimit / stragglerPeriodDivisor
+	period <<= min(machine.Health.SlowPeriods, maxStragglerDoublings)
 	machine.Offer.Straggler = true
 	machine.Health.SlowUntil = now.Add(period)
-	machine.Health.SlowPeriods = min(machine.Health.SlowPeriods+1, maxStragglerPeriodDivisor)
+	machine.Health.SlowPeriods++
 }
 
 // endStragglerPeriod lets a machine have all kinds of work again, so that it is judged by that, unless it is drained. It
--- a/internal/leader/tasks/observe.go
+++ b/internal/leader/tasks/observe.go
@@ -35,7 +35,8 @@
 	}
 	dropRefusedStarts(machine, heartbeat)
 	m.reconcileAssignments(machine, heartbeat, now)
-	m.limitHeartbeatSize(machine, heartbeat)
+	m.reserveUnassignedBytes(machine, heartbeat)
+	m.recordHeartbeatSize(machine, heartbeat)
 }
 
 const (
@@ -45,9 +46,9 @@
 	unlistedBytes = workers.MaxMessageBytes - workers.MaxListedTasksBytes
 )
 
-// limitHeartbeatSize keeps room in the worker's heartbeats for what they list beside the assigned tasks: tasks that have
-// ended and are not acknowledged yet, and fields of which this program does not know.
-func (m *Manager) limitHeartbeatSize(machine *cluster.Machine, heartbeat *workers.Heartbeat) {
+// reserveUnassignedBytes keeps room in the worker's heartbeats for what they list beside the assigned tasks: tasks that
+// have ended and are not acknowledged yet, and fields of which this program does not know.
+func (m *Manager) reserveUnassignedBytes(machine *cluster.Machine, heartbeat *workers.Heartbeat) {
 	unassigned := 0.0
 	if len(heartbeat.Tasks) > fewListedTasks {
 		for i := range heartbeat.Tasks {
@@ -60,13 +61,19 @@
 	if m.Planner.Capacity.SetUnassignedBytes(machine, unassigned) {
 		m.Planner.PlanRequested = true
 	}
+}
+
+// recordHeartbeatSize records the size of a heartbeat, and logs the first of several that are too large. The limit does
+// not apply to those that came in responses.
+func (m *Manager) recordHeartbeatSize(machine *cluster.Machine, heartbeat *workers.Heartbeat) {
 	if heartbeat.Bytes == 0 {
-		return // it came in a response, to which the limit does not apply
-	}
-	if heartbeat.Bytes > workers.MaxMessageBytes && machine.Worker.HeartbeatBytes <= workers.MaxMessageBytes {
-		slog.Warn("heartbeat larger than the protocol allows", "machine", machine.ID, "term", m.Fencing.Current, "bytes", heartbeat.Bytes, "tasks", len(heartbeat.Tasks))
+		return
 	}
+	wasOversized := machine.Worker.OversizedBytes() > 0
 	machine.Worker.HeartbeatBytes = heartbeat.Bytes
+	if oversized := machine.Worker.OversizedBytes(); oversized > 0 && !wasOversized {
+		slog.Warn("heartbeat larger than the protocol allows", "machine", machine.ID, "term", m.Fencing.Current, "bytes", oversized, "tasks", len(heartbeat.Tasks))
+	}
 }
 
 // dropRefusedStarts removes tasks from StartedByRequest that the worker no longer lists, once it
