--- a/internal/controller/fault_combinations_catalog_test.go
+++ b/internal/controller/fault_combinations_catalog_test.go
@@ -32,28 +32,9 @@
 				scenario := newFaultScenario(c, seed)
 				scenario.faults.run(time.Now(), 230*time.Second)
 				c.advance(76 * time.Second)
-				c.waitFor(maxLargestJobWait, "all jobs finished", func() bool {
-					return !slices.ContainsFunc(scenario.finiteJobs, scenario.isUnfinished)
-				})
-				c.waitFor(30*time.Second, "services running", func() bool {
-					return !slices.ContainsFunc(scenario.services, scenario.isServiceDown)
-				})
-				scenario.users.stop()
-				if t.Failed() {
-					t.Log(c.queueSummary())
-					t.Log(c.world.Trace())
-				}
+				scenario.checkAllServed(maxLargestJobWait)
+				scenario.end(t)
 			})
 		})
 	}
 }
-
-// isUnfinished reports whether a job was accepted and its user was not told that it is finished.
-func (s *faultScenario) isUnfinished(spec *jobs.Spec) bool {
-	return s.cluster.world.IsJobAccepted(spec.ID) && !s.users.toldFinished(spec.ID)
-}
-
-// isServiceDown reports whether a service was accepted and not exactly all its tasks are on machines.
-func (s *faultScenario) isServiceDown(spec *jobs.Spec) bool {
-	return s.cluster.world.IsJobAccepted(spec.ID) && s.cluster.tasksOnMachines(spec.ID, spec.Tasks) != spec.Tasks
-}
--- a/internal/controller/fault_combinations_test.go
+++ b/internal/controller/fault_combinations_test.go
@@ -139,6 +139,38 @@
 	}
 }
 
+// isUnfinished reports whether a job was accepted and its user was not told that it is finished.
+func (s *faultScenario) isUnfinished(spec *jobs.Spec) bool {
+	return s.cluster.world.IsJobAccepted(spec.ID) && !s.users.toldFinished(spec.ID)
+}
+
+// isServiceDown reports whether a service was accepted and not exactly all its tasks are on machines.
+func (s *faultScenario) isServiceDown(spec *jobs.Spec) bool {
+	return s.cluster.world.IsJobAccepted(spec.ID) && s.cluster.tasksOnMachines(spec.ID, spec.Tasks) != spec.Tasks
+}
+
+// checkAllServed checks that all accepted jobs that run to completion end within the given time, and that all accepted
+// services run soon after that.
+func (s *faultScenario) checkAllServed(within time.Duration) {
+	s.cluster.t.Helper()
+	s.cluster.waitFor(within, "all jobs finished", func() bool {
+		return !slices.ContainsFunc(s.finiteJobs, s.isUnfinished)
+	})
+	s.cluster.waitFor(30*time.Second, "services running", func() bool {
+		return !slices.ContainsFunc(s.services, s.isServiceDown)
+	})
+}
+
+// end stops the users, and logs the trace of a day that has failed.
+func (s *faultScenario) end(t *testing.T) {
+	t.Helper()
+	s.users.stop()
+	if t.Failed() {
+		t.Log(s.cluster.queueSummary())
+		t.Log(s.cluster.world.Trace())
+	}
+}
+
 // TestRandomFaultCombinations overlaps faults of all kinds for two and a half minutes, while users
 // submit, query, resubmit and cancel jobs. No rule of the protocol may be violated. After the
 // faults, a query about every job succeeds within 75 s and all jobs finish within minutes.
@@ -156,21 +188,8 @@
 				}
 				c.advance(76 * time.Second)
 				scenario.checkAnswers(t, faultsEndedAt)
-				c.waitFor(4*time.Minute, "all jobs finished", func() bool {
-					return !slices.ContainsFunc(scenario.finiteJobs, func(spec *jobs.Spec) bool {
-						return c.world.IsJobAccepted(spec.ID) && !scenario.users.toldFinished(spec.ID)
-					})
-				})
-				c.waitFor(30*time.Second, "services running", func() bool {
-					return !slices.ContainsFunc(scenario.services, func(spec *jobs.Spec) bool {
-						return c.world.IsJobAccepted(spec.ID) && c.tasksOnMachines(spec.ID, spec.Tasks) != spec.Tasks
-					})
-				})
-				scenario.users.stop()
-				if t.Failed() {
-					t.Log(c.queueSummary())
-					t.Log(c.world.Trace())
-				}
+				scenario.checkAllServed(4 * time.Minute)
+				scenario.end(t)
 			})
 		})
 	}
--- a/internal/controller/protocol_variations_test.go
+++ b/internal/controller/protocol_variations_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
-	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -143,13 +142,7 @@
 	v.faults.scheduleAt(at, func() {
 		machine := v.randomMachine()
 		v.cluster.world.Tracef("== %s is silent for %v", machine, duration)
-		end := v.cluster.world.Network.AddFaults(func(from, _, path string) emulator.Fault {
-			if from == machine && path == "/v1/report" {
-				return effect
-			}
-			return emulator.Deliver
-		})
-		v.faults.scheduleAt(at+duration, end)
+		v.faults.scheduleAt(at+duration, muteMachine(v.cluster, machine, effect))
 	})
 }
 
@@ -214,20 +207,11 @@
 				c.advance(76 * time.Second)
 				day.checkAnswers(t, quietSince)
 				// A task may be stopped once as a slow one, and runs twice then.
-				c.waitFor(maxLargestJobWait+2*longestRunTime, "all jobs finished", func() bool {
-					return !slices.ContainsFunc(day.finiteJobs, day.isUnfinished)
-				})
-				c.waitFor(30*time.Second, "services running", func() bool {
-					return !slices.ContainsFunc(day.services, day.isServiceDown)
-				})
+				day.checkAllServed(maxLargestJobWait + 2*longestRunTime)
 				if task, starts := day.startsSince(startsBefore); starts > maxStartsInQuiet {
 					t.Errorf("%s was started %d times after the last fault", task, starts)
 				}
-				day.users.stop()
-				if t.Failed() {
-					t.Log(c.queueSummary())
-					t.Log(c.world.Trace())
-				}
+				day.end(t)
 			})
 		})
 	}
--- a/internal/controller/straggler_test.go
+++ b/internal/controller/straggler_test.go
@@ -8,11 +8,12 @@
 	"ospreyslip/internal/jobs"
 )
 
-// muteMachine keeps the heartbeats of a machine from all controllers, while direct commands and probes reach it.
-func muteMachine(c *cluster, machine string) (end func()) {
+// muteMachine applies an effect to the heartbeats of a machine to all controllers, while direct commands and probes
+// reach it.
+func muteMachine(c *cluster, machine string, effect emulator.Fault) (end func()) {
 	return c.world.Network.AddFaults(func(from, _, path string) emulator.Fault {
 		if from == machine && path == "/v1/report" {
-			return emulator.RefuseConnection
+			return effect
 		}
 		return emulator.Deliver
 	})
@@ -43,7 +44,7 @@
 				c.waitFor(60*time.Second, "tasks assigned", func() bool { return len(c.loggedAssignments()) == 8 })
 				c.advance(1500 * time.Millisecond) // the worker has them and fetches their image
 				machines := c.world.Machines()
-				end := muteMachine(c, machines[len(machines)-1])
+				end := muteMachine(c, machines[len(machines)-1], emulator.RefuseConnection)
 				c.advance(silence * time.Second)
 				end()
 				c.waitForDone(120*time.Second, "j-1")
