--- a/review/stage/scenarios.go
+++ b/review/stage/scenarios.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"time"
 
 	"ospreyslip/internal/emulator"
 	"ospreyslip/internal/jobs"
@@ -26,15 +27,17 @@
 
 // scenarios holds the cases by name.
 var scenarios = map[string]scenario{
-	"roll":     {homework(), playRoll},
-	"resubmit": {homework(), playResubmit},
+	"attempt":  {withCapacity(homework(), 2), playAttempt},
+	"confirm":  {homework(), playConfirm},
+	"roll":     {withBootTime(homework(), 40*time.Second), playRoll},
+	"resubmit": {withBootTime(homework(), 40*time.Second), playResubmit},
 	"snapshot": {withOneStateAddress(homework()), playSnapshot},
 }
 
-// batch returns a job of one short task each.
-func batch(s *stage, id string, tasks int, seconds float64) *jobs.Spec {
+// batch returns an array of one task.
+func batch(s *stage, id string, seconds float64) *jobs.Spec {
 	return &jobs.Spec{
-		ID: id, Class: "pressroll", Team: s.setting.team, Shape: jobs.Batch, Priority: jobs.Standard, Tasks: tasks,
+		ID: id, Class: "pressroll", Team: s.setting.team, Shape: jobs.Batch, Priority: jobs.Standard, Tasks: 1,
 		CPUs: 1, RAMGB: 3, Image: "img-01", ImageGB: 1, Spot: true, EstimatedRuntimeS: seconds,
 	}
 }
@@ -56,7 +59,7 @@
 	if err := s.waitFor("all controllers ready", 20, s.allReady); err != nil {
 		return err
 	}
-	if err := forAll(count, 16, func(i int) error { return s.submit(i, batch(s, id(i), 1, 600)) }); err != nil {
+	if err := forAll(count, 16, func(i int) error { return s.submit(i, batch(s, id(i), 600)) }); err != nil {
 		return err
 	}
 	return forAll(count, 16, func(i int) error {
@@ -74,27 +77,36 @@
 	s.logf("the state service loses %d records", len(lost))
 }
 
+// followersFirst returns the controllers in an order in which the leader comes last.
+func (s *stage) followersFirst() []*controller {
+	leader := s.leader()
+	var order []*controller
+	for _, c := range s.controllers {
+		if c != leader {
+			order = append(order, c)
+		}
+	}
+	if leader != nil {
+		order = append(order, leader)
+	}
+	return order
+}
+
 // playRoll: the state service loses the records of jobs, and then all controllers are restarted one
-// after the other, beginning with the leader. No user may be told that there is no such job.
+// after the other, the leader last. No user may be told that there is no such job.
 func playRoll(s *stage, trouble bool) error {
-	const count, asked = 300, 10
+	const count, asked = 420, 10
 	if err := s.cancelledJobs(count); err != nil {
 		return err
 	}
 	s.sleep(1)
+	var order []*controller
 	if trouble {
 		s.loseJobs()
+		s.sleep(1)
+		order = s.followersFirst()
 	}
-	s.sleep(1)
-	leader := s.leader()
-	if leader == nil {
-		return errors.New("no controller leads")
-	}
-	for i := range controllerCount {
-		c := s.controllers[(leader.index+i)%controllerCount]
-		if !trouble {
-			break
-		}
+	for i, c := range order {
 		if i > 0 {
 			s.sleep(rollEveryS - backAfterS)
 		}
@@ -140,7 +152,7 @@
 		}
 	}
 	for i := count - 1; s.elapsed() < endS; i-- {
-		status, state := s.request(c, http.MethodPost, jobsPath, wireSpec(batch(s, id(i), 1, 600)))
+		status, state := s.request(c, http.MethodPost, jobsPath, wireSpec(batch(s, id(i), 600)))
 		if (status == http.StatusOK || status == http.StatusCreated) && state != abortedState {
 			return &brokenError{"went_back: " + id(i) + " is " + state}
 		}
@@ -149,6 +161,11 @@
 	return nil
 }
 
+func withBootTime(s setting, boot time.Duration) setting {
+	s.bootTime = boot
+	return s
+}
+
 func withOneStateAddress(s setting) setting {
 	s.oneStateAddress = true
 	return s
@@ -183,7 +200,7 @@
 	if err := s.waitFor("all controllers ready", 20, s.allReady); err != nil {
 		return "", err
 	}
-	job := batch(s, id(0), 1, 8)
+	job := batch(s, id(0), 8)
 	job.Spot = false
 	if err := s.submit(0, job); err != nil {
 		return "", err
