--- a/review/stage/controller.go
+++ b/review/stage/controller.go
@@ -27,10 +27,13 @@
 func (c *controller) settingsPath() string { return filepath.Join(c.stage.folder, c.name+".toml") }
 func (c *controller) logPath() string      { return filepath.Join(c.stage.folder, c.name+".log") }
 
-// start starts the process.
+// start starts the process, unless it runs or the case is over.
 func (c *controller) start() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.process != nil || c.stage.ctx.Err() != nil {
+		return nil
+	}
 	log, err := os.OpenFile(c.logPath(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -229,10 +229,10 @@
 
 // close ends all processes and adds their logs to the record.
 func (s *stage) close() {
+	s.stop()
 	for _, c := range s.controllers {
 		c.kill()
 	}
-	s.stop()
 	if s.folder == "" {
 		return
 	}
